--- /dev/null
+++ b/src/merlinnotch/__main__.py
@@ -0,0 +1,5 @@
+"""Lets ``python -m merlinnotch`` run the command line."""
+
+from ._cli.main import main
+
+main()
--- /dev/null
+++ b/src/merlinnotch/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/merlinnotch/_cli/plan.py
@@ -0,0 +1,34 @@
+"""``merlinnotch plan``."""
+
+from dataclasses import asdict
+
+from cleo.helpers import argument
+
+from .._config import RevisionLog, load_catalogue
+from .command import JSON_OPTION, SETTINGS_OPTION, OperatorCommand
+from .difference import find_differences
+from .exits import ExitCode
+
+
+class PlanCommand(OperatorCommand):
+    """Shows what applying a file set would change."""
+
+    name = "plan"
+    description = "Show what would change against the revision in force."
+    arguments = [argument("folder", "The folder with *.toml files.")]
+    options = [SETTINGS_OPTION, JSON_OPTION]
+
+    def run_command(self):
+        document, _ = load_catalogue(self.argument("folder"))
+        store, _ = self.open_store()
+        current = RevisionLog(store).read_current()
+        number = current.number if current else 0
+        changes = find_differences(current.document if current else {}, document)
+        if self.option("json"):
+            rows = [asdict(change) for change in changes]
+            self.print_json({"against": number, "changes": rows})
+            return ExitCode.OK
+        self.line(f"against revision {number}: {len(changes)} changes")
+        for change in changes:
+            self.line(str(change).replace("<", "\\<"))
+        return ExitCode.OK
--- /dev/null
+++ b/src/merlinnotch/_daemon/app.py
@@ -0,0 +1,263 @@
+"""The callers' HTTP interface."""
+
+import json
+import logging
+
+from .._errors import ErrorKind, Outcome, RequestRefused, answer_for
+from .._limits import spread_retry_after
+from .._sessions import Session
+
+logger = logging.getLogger("merlinnotch")
+
+CHAT_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/services/"
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+JSON_TYPE = "application/json"
+STREAM_TYPE = "text/event-stream"
+
+
+class CallerApp:
+    """A WSGI application; every refusal goes out through one place."""
+
+    def __init__(self, state, parser, chat, services):
+        self._state = state
+        self._parser = parser
+        self._chat = chat
+        self._services = services
+
+    def __call__(self, environ, start_response):
+        self._state.metrics.in_progress.inc()
+        reply = _Reply(self._state, start_response)
+        try:
+            return reply.track(self._route(environ, reply))
+        except RequestRefused as refusal:
+            return reply.track(reply.refuse(refusal))
+        except Exception:
+            logger.exception("request failed")
+            return reply.track(reply.refuse(self._make_internal(reply)))
+
+    def _route(self, environ, reply):
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if path in ("/healthz", "/readyz"):
+            return self._answer_probe(path, reply)
+        if path == CHAT_PATH and method == "POST":
+            return self._answer_chat(environ, reply)
+        if path == MODELS_PATH and method == "GET":
+            return self._list_models(environ, reply)
+        if path.startswith(SERVICES_PREFIX):
+            return self._answer_service(environ, reply, path)
+        raise RequestRefused(ErrorKind.UNKNOWN_PATH)
+
+    def _answer_probe(self, path, reply):
+        good = path == "/healthz" or self._state.is_ready
+        status = 200 if good else 503
+        return reply.send(status, "text/plain", b"ok\n" if status == 200 else b"no\n")
+
+    def _answer_chat(self, environ, reply):
+        call = self._parser.parse_chat(environ)
+        reply.call = call
+        self._state.outbox.check_room()
+        if call.stream:
+            return self._stream_chat(call, reply)
+        kept = self._chat.answer(call)
+        return reply.answer(kept)
+
+    def _stream_chat(self, call, reply):
+        stream = self._chat.answer_stream(call)
+        first = next(stream.events)
+        reply.start_stream(stream.version_id)
+        return _StreamBody(first, stream.events, reply)
+
+    def _answer_service(self, environ, reply, path):
+        name, slash, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
+        call = self._parser.parse_service(environ, name, slash + rest or "/")
+        reply.call = call
+        self._state.outbox.check_room()
+        return reply.answer(self._services.answer(call))
+
+    def _list_models(self, environ, reply):
+        team = self._parser.find_team(environ)
+        catalogue = self._state.configurer.tracker.catalogue
+        names = [
+            kind.name
+            for kind in catalogue.kinds.values()
+            if any(_may_use(team, catalogue.models[name]) for name in kind.models)
+        ]
+        names += [name for name in catalogue.models if team.allows(name)]
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "merlinnotch"}
+            for name in names
+        ]
+        body = json.dumps({"object": "list", "data": rows}).encode()
+        return reply.send(200, JSON_TYPE, body)
+
+    def _make_internal(self, reply):
+        sent = reply.call is not None and (reply.call.sent or reply.call.named)
+        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
+        return RequestRefused(ErrorKind.INTERNAL, outcome=outcome)
+
+
+def _may_use(team, model):
+    return any(team.allows(model.name, version.name) for version in model.versions)
+
+
+class _Reply:
+    """Starts one response and counts what it came to."""
+
+    def __init__(self, state, start_response):
+        self._state = state
+        self._start_response = start_response
+        self.call = None
+
+    def track(self, body):
+        """Return *body*, counted as in progress until it is sent or dropped."""
+        return _TrackedBody(body, self._state.metrics.in_progress)
+
+    def send(self, status, content_type, body, headers=()):
+        """Start a whole response and return its body."""
+        headers = [
+            ("Content-Type", content_type),
+            ("Content-Length", str(len(body))),
+            *headers,
+            *self._connection_headers(),
+        ]
+        reason = REASONS.get(status, "Status")
+        self._start_response(f"{status} {reason}", headers)
+        return [body]
+
+    def answer(self, kept):
+        """Start the response with a :class:`KeptAnswer`."""
+        self._count(Outcome.ANSWERED)
+        headers = self._describe(kept.version)
+        return self.send(kept.status, kept.content_type, kept.body, headers)
+
+    def start_stream(self, version_id):
+        """Start a streamed response."""
+        headers = [("Content-Type", STREAM_TYPE), ("Cache-Control", "no-store")]
+        headers += self._describe(version_id) + self._connection_headers()
+        self._start_response("200 OK", headers)
+
+    def refuse(self, refusal):
+        """Start the response to a refused request."""
+        self._count(refusal.outcome, refusal.kind)
+        answer = answer_for(refusal.kind)
+        headers = [
+            ("X-Merlinnotch-Outcome", refusal.outcome.value),
+            ("X-Merlinnotch-Error-Kind", refusal.kind.value),
+        ]
+        base_s = refusal.retry_after_s or answer.retry_after_s
+        if base_s is not None:
+            back_in_s = spread_retry_after(base_s)
+            headers.append(("Retry-After", str(max(1, round(back_in_s)))))
+            headers.append(("Retry-After-Ms", str(round(back_in_s * 1000))))
+        if self.call is not None:
+            headers.append(("X-Request-Id", self.call.request_id))
+        body = json.dumps({"error": describe_error(refusal)}).encode()
+        return self.send(answer.status, JSON_TYPE, body, headers)
+
+    def count_stream(self, outcome, kind=None):
+        """Count how a stream ended."""
+        self._count(outcome, kind)
+
+    def _describe(self, version_id):
+        call = self.call
+        headers = [
+            ("X-Request-Id", call.request_id),
+            ("X-Merlinnotch-Version", version_id),
+            ("X-Merlinnotch-Outcome", Outcome.ANSWERED.value),
+        ]
+        if "@" in version_id:
+            session = call.session or Session(call.request_id, call.team.name, ())
+            token = self._state.signer.sign(session.pin(version_id))
+            headers.append(("X-Merlinnotch-Session", token))
+        return headers
+
+    def _connection_headers(self):
+        return [("Connection", "close")] if self._state.leaving else []
+
+    def _count(self, outcome, kind=None):
+        self._state.metrics.requests.labels(outcome.value).inc()
+        if kind is not None:
+            self._state.metrics.refusals.labels(kind.value).inc()
+
+
+class _StreamBody:
+    """A streamed answer; one that can't be finished ends with an error event."""
+
+    def __init__(self, first, events, reply):
+        self._first = first
+        self._events = events
+        self._reply = reply
+
+    def __iter__(self):
+        try:
+            yield self._first + b"\n\n"
+            for event in self._events:
+                yield event + b"\n\n"
+        except RequestRefused as refusal:
+            yield self._fail(refusal)
+        except Exception:
+            logger.exception("stream failed")
+            yield self._fail(
+                RequestRefused(ErrorKind.INTERNAL, outcome=Outcome.UNKNOWN)
+            )
+        else:
+            self._reply.count_stream(Outcome.ANSWERED)
+            yield b"data: [DONE]\n\n"
+
+    def close(self):
+        """Called by the server when the stream has ended or its caller gone."""
+        self._events.close()
+
+    def _fail(self, refusal):
+        self._reply.count_stream(refusal.outcome, refusal.kind)
+        return (
+            b"data: "
+            + json.dumps({"error": describe_error(refusal)}).encode()
+            + b"\n\n"
+        )
+
+
+class _TrackedBody:
+    """A body that counts as in progress until it is closed."""
+
+    def __init__(self, body, gauge):
+        self._body = body
+        self._gauge = gauge
+
+    def __iter__(self):
+        return iter(self._body)
+
+    def close(self):
+        """Called by the server exactly once."""
+        self._gauge.dec()
+        if hasattr(self._body, "close"):
+            self._body.close()
+
+
+def describe_error(refusal):
+    """Return the error object that OpenAI-compatible clients parse."""
+    return {
+        "message": str(refusal),
+        "type": answer_for(refusal.kind).type,
+        "code": refusal.kind.value,
+        "param": None,
+        "outcome": refusal.outcome.value,
+    }
--- /dev/null
+++ b/src/merlinnotch/_daemon/instance.py
@@ -0,0 +1,193 @@
+"""Putting an entry instance together, and taking it down gracefully."""
+
+import logging
+import random
+import time
+
+import eventlet
+import eventlet.wsgi
+from prometheus_client import generate_latest
+
+from .._limits import RetryBudget
+from .._routing import QualityBook, UpstreamTable
+from .._sessions import SessionSigner
+from .._store import HttpStore
+from .admission import Admission
+from .app import CallerApp
+from .board import AnswerBoard
+from .chat import ChatAnswerer
+from .client import UpstreamClient
+from .configurer import Configurer
+from .dedup import Deduplicator
+from .directory import Directory
+from .gossiper import Gossiper
+from .guardian import Guardian
+from .ledger import Ledger
+from .loads import Loads
+from .metrics import Metrics
+from .outbox import Outbox
+from .parsing import CallParser
+from .peers import Peers
+from .ratings import Raters
+from .services import ServiceAnswerer
+from .state import InstanceState
+from .status import StatusReporter
+from .tallies import Tallies
+
+logger = logging.getLogger("merlinnotch")
+
+MAX_CONNECTIONS = 4096
+CALLER_IDLE_S = 75.0
+DEFAULT_QUEUE_LIMIT = 256
+DEFAULT_RETRY_RATIO = 0.1
+POLL_S = 0.05
+
+
+class EntryInstance:
+    """One entry instance with all its tasks."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        incarnation = int(time.time() * 1000)
+        metrics = Metrics()
+        store = HttpStore(
+            settings.store_addresses,
+            settings.store_timeout_s,
+            on_call=lambda kind: metrics.store_calls.labels(kind).inc(),
+            source_ip=settings.peer_address.partition(":")[0],
+        )
+        peers = Peers(settings, metrics)
+        configurer = Configurer(store, metrics, self._note_quarantine)
+        gossiper = Gossiper(settings, peers, configurer, metrics, incarnation)
+        table = UpstreamTable(settings.zone)
+        admission = Admission(table, DEFAULT_QUEUE_LIMIT)
+        ledger = Ledger(
+            settings, store, peers, gossiper.membership, metrics, incarnation
+        )
+        outbox = Outbox(
+            settings, ledger, peers, gossiper.membership, metrics, incarnation
+        )
+        book = QualityBook()
+        tallies = Tallies(settings, gossiper, incarnation)
+        raters = Raters(settings, tallies, self._get_target)
+        guardian = Guardian(gossiper, configurer, store, tallies, book, metrics)
+        loads = Loads(settings, table, gossiper, admission.dispatch)
+        self.state = InstanceState(
+            settings=settings,
+            metrics=metrics,
+            configurer=configurer,
+            peers=peers,
+            membership=gossiper.membership,
+            table=table,
+            loads=loads,
+            admission=admission,
+            ledger=ledger,
+            outbox=outbox,
+            board=AnswerBoard(),
+            client=UpstreamClient(settings.peer_address.partition(":")[0]),
+            signer=SessionSigner(settings.signing_keys),
+            budget=RetryBudget(DEFAULT_RETRY_RATIO),
+            book=book,
+            tallies=tallies,
+            raters=raters,
+            guardian=guardian,
+        )
+        configurer.listen(self._take_catalogue)
+        self._gossiper = gossiper
+        self._tasks = (
+            configurer,
+            gossiper,
+            Directory(settings, table),
+            loads,
+            outbox,
+            raters,
+            guardian,
+            StatusReporter(settings, store, gossiper, guardian),
+        )
+
+    def start(self):
+        """Start all tasks and listen for callers."""
+        self.state.peers.start()
+        for task in self._tasks:
+            task.start()
+        state = self.state
+        dedup = Deduplicator(state)
+        parser = CallParser(self._settings, state.configurer.tracker, state.signer)
+        generator = random.Random()
+        app = CallerApp(
+            state,
+            parser,
+            ChatAnswerer(state, generator, dedup),
+            ServiceAnswerer(state, dedup),
+        )
+        self._server = _serve(self._settings.caller_address, app)
+        _serve(self._settings.metrics_address, self._serve_operations)
+        logger.info("started")
+
+    def shut_down(self):
+        """Leave gracefully; return whether all work was finished in time.
+
+        Readiness fails at once, while new connections are still served until
+        the balancer has caught up. Then listening stops, requests in progress
+        end, and bills are posted.
+        """
+        logger.info("leaving")
+        self.state.leaving = True
+        self._gossiper.leaving = True
+        deadline = time.monotonic() + self._settings.shutdown_s
+        eventlet.sleep(self._settings.drain_s)
+        self._server.kill()
+        finished = _wait_until(self._is_idle, deadline)
+        finished = (
+            _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
+        )
+        logger.info("stopped", extra={"finished": finished})
+        return finished
+
+    def _is_idle(self):
+        return self.state.metrics.in_progress._value.get() == 0
+
+    def _serve_operations(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/metrics":
+            body = generate_latest(self.state.metrics.registry)
+            start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+            return [body]
+        good = path == "/healthz" or (path == "/readyz" and self.state.is_ready)
+        status = "200 OK" if good else "503 Service Unavailable"
+        start_response(status, [("Content-Type", "text/plain")])
+        return [b"ok\n" if good else b"no\n"]
+
+    def _get_target(self, kind_name):
+        catalogue = self.state.configurer.tracker.catalogue
+        kind = catalogue.kinds.get(kind_name) if catalogue else None
+        return kind.quality_target if kind else 0.0
+
+    def _note_quarantine(self, version_id, quarantine):
+        self.state.guardian.note(version_id, quarantine)
+
+    def _take_catalogue(self, catalogue):
+        self.state.admission.set_queue_limit(catalogue.tuning.queue_limit)
+        self.state.budget.ratio = catalogue.tuning.retry_ratio
+
+
+def _serve(address, app):
+    host, _, port = address.partition(":")
+    listener = eventlet.listen((host, int(port)), backlog=1024)
+    return eventlet.spawn(
+        eventlet.wsgi.server,
+        listener,
+        app,
+        log_output=False,
+        max_size=MAX_CONNECTIONS,
+        socket_timeout=CALLER_IDLE_S,
+        debug=False,
+    )
+
+
+def _wait_until(condition, deadline):
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        eventlet.sleep(POLL_S)
+    return condition()
--- /dev/null
+++ b/src/merlinnotch/_daemon/ledger.py
@@ -0,0 +1,108 @@
+"""Reaching the ledger from any instance."""
+
+import time
+
+from .._ledger import ClaimStatus, Query, bucket_of
+from .._peers import BeginReply, BeginRequest, RecordReply, RecordRequest
+from .._peers.membership import rank_first
+from .link import PeerUnreachable
+from .registry import RunRegistry
+from .writer import BucketWriter
+
+PEER_TIMEOUT_S = 1.0
+BEGIN_TIMEOUT_S = 0.15
+OWNERS_TRIED = 2
+
+
+class Ledger:
+    """Sends records to the instance that should write their bucket.
+
+    That is the one that ranks first for the bucket among live instances. It
+    is a matter of speed only: whoever can't reach it writes itself, and the
+    log sorts out who came first.
+    """
+
+    def __init__(self, settings, store, peers, membership, metrics, incarnation):
+        self._instance = settings.instance
+        self._writer_name = f"{settings.instance}/{incarnation}"
+        self._store = store
+        self._peers = peers
+        self._membership = membership
+        self._metrics = metrics
+        self._writers = {}
+        self._registry = RunRegistry()
+        peers.handlers[RecordRequest] = self._answer_records
+        peers.handlers[BeginRequest] = self._answer_begin
+
+    def record(self, record, timeout_s):
+        """Return the verdict of one record, or None if it isn't known in time."""
+        return self.record_all(bucket_of(record.key), (record,), timeout_s)[0]
+
+    def record_all(self, bucket, records, timeout_s):
+        """Return the verdicts of records of one bucket, None where unknown."""
+        deadline = time.monotonic() + timeout_s
+        for member in self._rank_owners(bucket):
+            if member.instance == self._instance:
+                break
+            left = min(deadline - time.monotonic(), PEER_TIMEOUT_S)
+            if left <= 0:
+                return (None,) * len(records)
+            try:
+                request = RecordRequest(bucket, tuple(records))
+                reply = self._peers.request(member.address, request, left)
+            except PeerUnreachable:
+                continue
+            if all(verdict is not None for verdict in reply.verdicts):
+                return reply.verdicts
+        left = max(0.0, deadline - time.monotonic())
+        return tuple(self._get_writer(bucket).submit(records, left))
+
+    def begin(self, key, digest, replace=False):
+        """Return the :class:`BeginReply` for an idempotent request.
+
+        With *replace* we become the holder, in place of one that no longer
+        has the answer. Where the owner can't be asked in time, the request
+        may as well run.
+        """
+        bucket = bucket_of(key)
+        request = BeginRequest(bucket, key, digest, self._instance, replace)
+        owner = next(iter(self._rank_owners(bucket)), None)
+        if owner is None or owner.instance == self._instance:
+            return self._answer_begin(request)
+        try:
+            return self._peers.request(owner.address, request, BEGIN_TIMEOUT_S)
+        except PeerUnreachable:
+            return BeginReply(self._instance, False)
+
+    def was_never_run(self, key, timeout_s):
+        """Return whether the ledger shows that nothing has claimed *key*."""
+        verdict = self.record(Query(key), timeout_s)
+        return verdict is not None and verdict.status is ClaimStatus.FREE
+
+    def _rank_owners(self, bucket):
+        live = [m for m in self._membership.list_live(time.monotonic())]
+        live = [m for m in live if not m.leaving or m.instance == self._instance]
+        ranked = []
+        while live and len(ranked) < OWNERS_TRIED:
+            first = rank_first(f"bucket-{bucket}", live)
+            ranked.append(first)
+            live.remove(first)
+        return ranked
+
+    def _get_writer(self, bucket):
+        if bucket not in self._writers:
+            self._writers[bucket] = BucketWriter(
+                self._store, self._metrics, bucket, self._writer_name
+            )
+        return self._writers[bucket]
+
+    def _answer_records(self, request):
+        writer = self._get_writer(request.bucket)
+        verdicts = writer.submit(request.records, PEER_TIMEOUT_S)
+        return RecordReply(tuple(verdicts))
+
+    def _answer_begin(self, request):
+        now = time.monotonic()
+        begin = self._registry.replace if request.replace else self._registry.begin
+        run = begin(request.key, request.digest, request.holder, now)
+        return BeginReply(run.holder, run.digest != request.digest)
--- /dev/null
+++ b/src/merlinnotch/_daemon/services.py
@@ -0,0 +1,58 @@
+"""Answering requests for plain services."""
+
+import time
+
+from .._ledger import Bill
+from .attempts import Attempts
+from .board import KeptAnswer
+from .failure import AttemptFailed
+
+MICROS = 1_000_000
+DEFAULT_PRIORITY = 5
+
+
+class ServiceAnswerer:
+    """Answers calls for plain services, each request once."""
+
+    def __init__(self, state, dedup):
+        self._state = state
+        self._dedup = dedup
+
+    def answer(self, call):
+        """Return the :class:`KeptAnswer` to a :class:`ServiceCall`."""
+        kept = self._dedup.find(call)
+        if kept is not None:
+            return kept
+        with self._dedup.run(call) as slot:
+            slot.answer = self._run(call)
+        return slot.answer
+
+    def _run(self, call):
+        attempts = Attempts(self._state, call)
+        try:
+            while True:
+                upstream = attempts.acquire(
+                    call.service.pool, None, call.team.weight, DEFAULT_PRIORITY, "", 0.0
+                )
+                try:
+                    answer = self._try(upstream, call)
+                except AttemptFailed as failure:
+                    attempts.note_failure(upstream, failure)
+                    continue
+                finally:
+                    self._state.admission.release(upstream)
+                attempts.note_success(upstream)
+                self._bill(call)
+                return answer
+        finally:
+            attempts.give_back()
+
+    def _try(self, upstream, call):
+        response, data = self._state.client.call_service(upstream, call)
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return KeptAnswer(response.status, content_type, call.service.name, data)
+
+    def _bill(self, call):
+        cost = round(call.service.cost_per_call * MICROS)
+        bill = Bill(call.key, call.team.name, call.service.name, 0, cost, time.time())
+        self._state.outbox.add_bill(bill)
--- /dev/null
+++ b/src/merlinnotch/_daemon/state.py
@@ -0,0 +1,51 @@
+"""What the request handlers share on one instance."""
+
+from dataclasses import dataclass
+
+from .._limits import RetryBudget
+from .._routing import QualityBook, UpstreamTable
+from .._sessions import SessionSigner
+from .._settings import Settings
+from .admission import Admission
+from .board import AnswerBoard
+from .client import UpstreamClient
+from .configurer import Configurer
+from .guardian import Guardian
+from .ledger import Ledger
+from .loads import Loads
+from .metrics import Metrics
+from .outbox import Outbox
+from .peers import Peers
+from .ratings import Raters
+from .tallies import Tallies
+
+
+@dataclass
+class InstanceState:
+    """The parts of an instance that serving a request touches."""
+
+    settings: Settings
+    metrics: Metrics
+    configurer: Configurer
+    peers: Peers
+    membership: object
+    table: UpstreamTable
+    loads: Loads
+    admission: Admission
+    ledger: Ledger
+    outbox: Outbox
+    board: AnswerBoard
+    client: UpstreamClient
+    signer: SessionSigner
+    budget: RetryBudget
+    book: QualityBook
+    tallies: Tallies
+    raters: Raters
+    guardian: Guardian
+    leaving: bool = False
+
+    @property
+    def is_ready(self):
+        """Whether callers should be sent here."""
+        known = self.configurer.tracker.catalogue is not None and len(self.table) > 0
+        return known and not self.leaving
--- /dev/null
+++ b/src/merlinnotch/_limits/__init__.py
@@ -0,0 +1,14 @@
+"""Limits: queues, shares, concurrency and retries."""
+
+from .adaptive import AdaptiveLimit
+from .budget import RetryBudget
+from .queue import FairQueue, Waiter
+from .spread import spread_retry_after
+
+__all__ = [
+    "AdaptiveLimit",
+    "FairQueue",
+    "RetryBudget",
+    "Waiter",
+    "spread_retry_after",
+]
--- /dev/null
+++ b/src/merlinnotch/_peers/gossip.py
@@ -0,0 +1,87 @@
+"""State spread between instances, newest word wins."""
+
+import enum
+from dataclasses import dataclass
+
+
+class Scope(enum.IntEnum):
+    """How far a kind of entry travels."""
+
+    ZONE = 0
+    FLEET = 1
+
+
+@dataclass(frozen=True)
+class GossipEntry:
+    """One value with its place in the local order of changes.
+
+    *source* is the instance that it was learned from, "" for our own word.
+    """
+
+    key: tuple
+    value: object
+    sequence: int
+    source: str
+
+
+class GossipState:
+    """A map whose values only move forward in their ``order``.
+
+    Every change gets a local sequence number, so that a peer can be sent
+    just what changed since the last exchange with it. *scopes* maps the first
+    part of a key to its :class:`Scope`.
+    """
+
+    def __init__(self, scopes):
+        self._scopes = scopes
+        self._entries = {}
+        self.sequence = 0
+
+    def __len__(self):
+        return len(self._entries)
+
+    def merge(self, key, value, source=""):
+        """Take *value* if it is newer; return whether it was."""
+        known = self._entries.get(key)
+        if known is not None and known.value.order >= value.order:
+            return False
+        self.sequence += 1
+        # Re-inserted last, so that iteration runs in order of change.
+        self._entries.pop(key, None)
+        self._entries[key] = GossipEntry(key, value, self.sequence, source)
+        return True
+
+    def drop(self, key):
+        """Forget *key*, on this instance only."""
+        self._entries.pop(key, None)
+
+    def get(self, key):
+        """Return the value of *key*, or None."""
+        entry = self._entries.get(key)
+        return entry.value if entry else None
+
+    def select(self, family):
+        """Return the (key, value) pairs whose keys start with *family*."""
+        return [
+            (key, entry.value)
+            for key, entry in self._entries.items()
+            if key[0] == family
+        ]
+
+    def changes_since(self, sequence, peer, same_zone):
+        """Return the entries to send to *peer*, oldest change first.
+
+        What the peer told us itself is left out, unless it asks for
+        everything, as it does after a restart; so is what must not leave the
+        zone when the peer is in another one.
+        """
+        found = []
+        for entry in reversed(self._entries.values()):
+            if entry.sequence <= sequence:
+                break
+            if entry.source == peer and sequence > 0:
+                continue
+            if same_zone or self._scopes[entry.key[0]] is Scope.FLEET:
+                found.append(entry)
+        found.reverse()
+        return found
--- /dev/null
+++ b/src/merlinnotch/_settings/loader.py
@@ -0,0 +1,79 @@
+"""Reading and checking settings files."""
+
+import pathlib
+import tomllib
+
+from pydantic import ValidationError
+
+from .._errors import BadSettings
+from .schema import OperatorFile, SettingsFile
+from .settings import OperatorSettings, Settings
+
+MIN_SECRET_CHARS = 16
+
+
+def load_settings(path):
+    """Return the :class:`Settings` in the file; raises :class:`BadSettings`."""
+    path = pathlib.Path(path)
+    table = _load_table(path, SettingsFile)
+    faults = []
+    keys = [_read_secret(path, name, faults) for name in table.sessions.key_files]
+    peer_key = _read_secret(path, table.peers.key_file, faults)
+    if faults:
+        raise BadSettings(faults)
+    return Settings(
+        instance=table.instance.name,
+        zone=table.instance.zone,
+        caller_address=table.instance.caller_address,
+        metrics_address=table.instance.metrics_address,
+        peer_address=table.instance.peer_address,
+        advertised_address=(
+            table.instance.advertised_address or table.instance.peer_address
+        ),
+        seeds=tuple(table.peers.seeds),
+        store_addresses=tuple(table.store.addresses),
+        platform_address=table.platform.address,
+        ratings_address=table.ratings.address if table.ratings else None,
+        signing_keys=tuple(keys),
+        peer_key=peer_key,
+        drain_s=table.shutdown.drain_s,
+        shutdown_s=table.shutdown.deadline_s,
+        max_body_bytes=table.instance.max_body_bytes,
+        store_timeout_s=table.store.timeout_s,
+    )
+
+
+def load_operator_settings(path):
+    """Return the :class:`OperatorSettings`; raises :class:`BadSettings`."""
+    table = _load_table(pathlib.Path(path), OperatorFile)
+    return OperatorSettings(
+        tuple(table.store.addresses), table.operator.name, table.store.timeout_s
+    )
+
+
+def _load_table(path, model):
+    try:
+        return model.model_validate(tomllib.loads(path.read_text()))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise BadSettings([f"{path}: {error}"]) from error
+    except ValidationError as error:
+        raise BadSettings([_describe(path, e) for e in error.errors()]) from error
+
+
+def _describe(path, entry):
+    place = ".".join(str(part) for part in entry["loc"])
+    found = "nothing" if entry["type"] == "missing" else repr(entry.get("input"))[:80]
+    return f"{path}: {place}: found {found}; {entry['msg']}"
+
+
+def _read_secret(path, name, faults):
+    """Return the secret in the file *name*, relative to the settings file."""
+    try:
+        secret = (path.parent / name).read_text().strip()
+    except OSError as error:
+        faults.append(f"{path}: secret file {name}: {error.strerror}")
+        return ""
+    if len(secret) < MIN_SECRET_CHARS:
+        allowed = f"must have at least {MIN_SECRET_CHARS} characters"
+        faults.append(f"{path}: secret file {name}: {allowed}")
+    return secret
--- /dev/null
+++ b/src/merlinnotch/_store/http.py
@@ -0,0 +1,121 @@
+"""The key-value service over its HTTP interface.
+
+The dialect is Consul's published key-value and session API: compare-and-swap
+by ``cas``, leases as sessions, watches as blocking queries.
+"""
+
+import base64
+import itertools
+import json
+import urllib.parse
+
+import urllib3
+
+from .._errors import StoreConflict, StoreUnavailable
+from .base import KeyValueStore
+from .item import Item, Listing
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+WATCH_GRACE_S = 2.0
+
+
+class HttpStore(KeyValueStore):
+    """*addresses* are host:port pairs; the next one is tried after a failure.
+
+    A call that times out leaves its connection closed, so that a later reply
+    can't be taken for that of another call. *timeout_s* bounds each call.
+    *on_call* is called with the kind of each call, for the counters;
+    *source_ip* is the address that connections come from.
+    """
+
+    def __init__(self, addresses, timeout_s=1.0, on_call=None, source_ip=None):
+        self._timeout_s = timeout_s
+        self._on_call = on_call or (lambda kind: None)
+        self._addresses = itertools.cycle(addresses)
+        self._address = next(self._addresses)
+        source_address = (source_ip, 0) if source_ip else None
+        self._http = urllib3.PoolManager(
+            maxsize=64, retries=False, source_address=source_address
+        )
+
+    def read(self, prefix, recurse=False):
+        self._on_call("read")
+        return self._list(prefix, recurse, {}, self._timeout_s)
+
+    def watch(self, prefix, index, wait_s, recurse=False):
+        self._on_call("watch")
+        query = {"index": index, "wait": f"{int(wait_s * 1000)}ms"}
+        return self._list(prefix, recurse, query, wait_s + WATCH_GRACE_S)
+
+    def swap(self, key, value, modify_index):
+        self._on_call("write")
+        path = f"/v1/kv/{urllib.parse.quote(key)}?cas={modify_index}"
+        if not self._call("PUT", path, value):
+            raise StoreConflict(key)
+
+    def put(self, key, value):
+        self._on_call("write")
+        self._call("PUT", f"/v1/kv/{urllib.parse.quote(key)}", value)
+
+    def delete(self, key, modify_index):
+        self._on_call("write")
+        path = f"/v1/kv/{urllib.parse.quote(key)}?cas={modify_index}"
+        if not self._call("DELETE", path):
+            raise StoreConflict(key)
+
+    def open_lease(self, ttl_s, name):
+        self._on_call("write")
+        body = {"Name": name, "TTL": f"{int(ttl_s)}s", "LockDelay": "0s"}
+        reply = self._call("PUT", "/v1/session/create", json.dumps(body).encode())
+        return reply["ID"]
+
+    def renew_lease(self, lease):
+        self._on_call("write")
+        if not self._call("PUT", f"/v1/session/renew/{lease}"):
+            raise StoreConflict(lease)
+
+    def close_lease(self, lease):
+        self._on_call("write")
+        self._call("PUT", f"/v1/session/destroy/{lease}")
+
+    def acquire(self, key, value, lease):
+        self._on_call("write")
+        path = f"/v1/kv/{urllib.parse.quote(key)}?acquire={lease}"
+        return bool(self._call("PUT", path, value))
+
+    def _list(self, prefix, recurse, query, timeout_s):
+        if recurse:
+            query["recurse"] = "true"
+        path = f"/v1/kv/{urllib.parse.quote(prefix)}?{urllib.parse.urlencode(query)}"
+        reply = self._send("GET", path, None, timeout_s)
+        if reply.status not in (HTTP_OK, HTTP_NOT_FOUND):
+            raise StoreUnavailable(f"status {reply.status}")
+        rows = json.loads(reply.data) if reply.status == HTTP_OK else []
+        items = tuple(_parse_item(row) for row in rows)
+        return Listing(items, int(reply.headers.get("X-Consul-Index", 0)))
+
+    def _call(self, method, path, body=None):
+        reply = self._send(method, path, body, self._timeout_s)
+        if reply.status == HTTP_NOT_FOUND:
+            return None
+        if reply.status != HTTP_OK:
+            raise StoreUnavailable(f"status {reply.status}")
+        return json.loads(reply.data)
+
+    def _send(self, method, path, body, timeout_s):
+        try:
+            return self._http.request(
+                method,
+                f"http://{self._address}{path}",
+                body=body,
+                timeout=urllib3.Timeout(total=timeout_s),
+            )
+        except urllib3.exceptions.HTTPError as error:
+            self._address = next(self._addresses)
+            raise StoreUnavailable(str(error)) from error
+
+
+def _parse_item(row):
+    value = base64.b64decode(row["Value"] or "")
+    return Item(row["Key"], value, row["ModifyIndex"], row.get("Session"))
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,319 @@
+"""Stand-in of a model engine, with the part of OpenAI's API that is used.
+
+It batches: a limited number of slots, priorities among those that wait, a
+prefix cache of limited size that shortens the time to the first token.
+``PUT /standin/switches`` changes its behaviour:
+
+``bad``      maps versions to {"mode": "errors"|"quality"|"empty", "rate": 0..1,
+             "kind": optional, "drop": loss of quality}
+``silent``   accept and never answer, in streams under way as well
+``break_at`` cut each stream after this many tokens, once for each request
+``leaving``  refuse new work, and say so
+``late_ms``  delay before the reply starts
+``ignore_fence`` carry out orders with an old fencing number
+
+``GET /standin/state`` tells each run of each request.
+"""
+
+from standins.server import HANG_S, Reply, serve
+
+import argparse
+import collections
+import hashlib
+import heapq
+import itertools
+import json
+import time
+from dataclasses import dataclass, field
+
+import eventlet
+from eventlet.event import Event
+
+WORDS = [
+    "a",
+    "small",
+    "box",
+    "of",
+    "pears",
+    "left",
+    "the",
+    "dock",
+    "early",
+    "for",
+    "the",
+    "school",
+    "kitchen",
+]
+CACHE_SAVES = 0.6
+
+
+@dataclass
+class Switches:
+    """How the stand-in misbehaves."""
+
+    bad: dict = field(default_factory=dict)
+    silent: bool = False
+    break_at: int = 0
+    leaving: bool = False
+    late_ms: float = 0.0
+    ignore_fence: bool = False
+
+
+@dataclass
+class Options:
+    """What the engine is like."""
+
+    id: str
+    versions: list
+    slots: int
+    first_token_ms: float
+    token_ms: float
+    cache_entries: int
+    report_lag_s: float
+    qualities: dict
+
+
+@dataclass
+class Run:
+    """One run of one request, as a test can ask for it."""
+
+    request_id: str
+    version: str
+    started_at: float
+    resumed_at: int = 0
+    tokens: int = 0
+    finished: bool = False
+    cancelled: bool = False
+
+
+class Engine:
+    """All state of the stand-in."""
+
+    def __init__(self, options):
+        self.options = options
+        self.switches = Switches()
+        self.runs = []
+        self.running = 0
+        self.fence = 0
+        self._waiting = []
+        self._order = itertools.count()
+        self._cache = collections.OrderedDict()
+        self._broken = set()
+        self._report = self._measure()
+        eventlet.spawn(self._report_late)
+
+    def handle(self, request):
+        """Answer one request."""
+        if request.path == "/standin/switches":
+            for name, value in request.json().items():
+                setattr(self.switches, name, value)
+            return Reply(vars(self.switches))
+        if request.path == "/standin/state":
+            return Reply({"runs": [vars(run) for run in self.runs]})
+        if self.switches.silent:
+            eventlet.sleep(HANG_S)
+        if request.path == "/load":
+            status = 410 if self.switches.leaving else 200
+            return Reply(self._report, status)
+        if request.path == "/orders":
+            return self._take_order(request.json())
+        if request.path == "/v1/chat/completions":
+            return self._chat(request)
+        return Reply({"error": {"message": "no such path"}}, 404)
+
+    def _chat(self, request):
+        body = request.json()
+        request_id = request.headers.get("X_REQUEST_ID", "")
+        headers = {"X-Request-Id": request_id, "Content-Type": "text/event-stream"}
+        refusal = self._find_refusal(body["model"])
+        if refusal:
+            headers["X-Not-Run"] = refusal
+            return Reply({"error": {"message": refusal}}, 503, headers)
+        bad = self._find_badness(body, request_id)
+        if bad == "errors":
+            self.runs.append(Run(request_id, body["model"], time.time()))
+            return Reply({"error": {"message": "boom"}}, 500, headers)
+        if self.switches.late_ms:
+            eventlet.sleep(self.switches.late_ms / 1000)
+        position = int(request.headers.get("X_RESUME_FROM", 0))
+        run = Run(request_id, body["model"], time.time(), position)
+        self.runs.append(run)
+        priority = int(request.headers.get("X_PRIORITY", 5))
+        events = self._generate(body, run, bad, priority)
+        # Nothing is sent before the first token, so that a caller which looks
+        # at the headers sees the engine's own delay.
+        first = next(events)
+        return Reply(itertools.chain([first], events), 200, headers)
+
+    def _find_refusal(self, version):
+        if self.switches.leaving:
+            return "leaving"
+        if version not in self.options.versions:
+            return "model_not_found"
+        if len(self._waiting) >= 4 * self.options.slots:
+            return "overloaded"
+        return None
+
+    def _find_badness(self, body, request_id):
+        bad = self.switches.bad.get(body["model"])
+        if not bad:
+            return None
+        kind = bad.get("kind")
+        if kind and kind not in json.dumps(body["messages"]):
+            return None
+        if _hash_to_unit(f"bad{request_id}") >= bad.get("rate", 1.0):
+            return None
+        return bad["mode"]
+
+    def _generate(self, body, run, bad, priority):
+        self._enter(priority)
+        completed = False
+        try:
+            prompt = json.dumps(body["messages"])
+            eventlet.sleep(self._first_token_s(prompt))
+            yield from self._write_events(body, run, bad, prompt)
+            run.finished = completed = True
+        finally:
+            run.cancelled = not completed
+            self._leave()
+
+    def _write_events(self, body, run, bad, prompt):
+        words = [] if bad == "empty" else self._write_words(body, run, bad, prompt)
+        head = {
+            "id": f"chatcmpl-{run.request_id}",
+            "object": "chat.completion.chunk",
+            "created": int(time.time()),
+            "model": body["model"],
+        }
+        for number, word in enumerate(words):
+            if number < run.resumed_at:
+                continue
+            if number > run.resumed_at:
+                eventlet.sleep(self.options.token_ms / 1000)
+            self._misbehave(run, number)
+            run.tokens += 1
+            yield _encode(head, {"content": word}, None)
+        yield _encode(head, {}, "stop")
+        prompt_tokens = len(prompt.split())
+        usage = {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": len(words),
+            "total_tokens": prompt_tokens + len(words),
+        }
+        last = {**head, "choices": [], "usage": usage}
+        yield b"data: " + json.dumps(last).encode() + b"\n\n"
+        yield b"data: [DONE]\n\n"
+
+    def _misbehave(self, run, number):
+        while self.switches.silent:
+            eventlet.sleep(0.05)
+        limit = self.switches.break_at
+        if limit and number >= limit and run.request_id not in self._broken:
+            self._broken.add(run.request_id)
+            raise ConnectionError("told to break")
+
+    def _write_words(self, body, run, bad, prompt):
+        """Return the words of the answer; the first one tells its quality."""
+        quality = self.options.qualities.get(body["model"].partition("@")[0], 0.7)
+        quality += 0.3 * (_hash_to_unit(f"{prompt}{body['model']}") - 0.5)
+        if bad == "quality":
+            quality -= self.switches.bad[body["model"]].get("drop", 0.2)
+        quality = min(1.0, max(0.0, quality))
+        length = 8 + int(24 * _hash_to_unit(run.request_id))
+        length = min(length, body.get("max_tokens") or length)
+        words = [f"{WORDS[n % len(WORDS)]} " for n in range(length - 1)]
+        return [f"[q={quality:.3f}] ", *words]
+
+    def _first_token_s(self, prompt):
+        prefix = prompt[:256]
+        cached = prefix in self._cache
+        self._cache[prefix] = True
+        self._cache.move_to_end(prefix)
+        if len(self._cache) > self.options.cache_entries:
+            self._cache.popitem(last=False)
+        share = 1 - CACHE_SAVES if cached else 1
+        return self.options.first_token_ms * share / 1000
+
+    def _enter(self, priority):
+        if self.running < self.options.slots:
+            self.running += 1
+            return
+        place = Event()
+        entry = (-priority, next(self._order), place)
+        heapq.heappush(self._waiting, entry)
+        try:
+            place.wait()
+        except BaseException:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            raise
+
+    def _leave(self):
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].send(True)
+        else:
+            self.running -= 1
+
+    def _take_order(self, order):
+        if order["fence"] < self.fence and not self.switches.ignore_fence:
+            return Reply({"error": {"message": "old fencing number"}}, 409)
+        self.fence = max(self.fence, order["fence"])
+        self.options.versions = list(order["versions"])
+        return Reply({"versions": self.options.versions, "fence": self.fence})
+
+    def _measure(self):
+        return {
+            "running": self.running,
+            "waiting": len(self._waiting),
+            "slots": self.options.slots,
+            "versions": self.options.versions,
+        }
+
+    def _report_late(self):
+        while True:
+            report = self._measure()
+            eventlet.sleep(self.options.report_lag_s)
+            self._report = report
+
+
+def _encode(head, delta, reason):
+    choice = {"index": 0, "delta": delta, "finish_reason": reason}
+    return b"data: " + json.dumps({**head, "choices": [choice]}).encode() + b"\n\n"
+
+
+def _hash_to_unit(text):
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") / 2**64
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--versions", required=True, help="comma-separated")
+    parser.add_argument("--slots", type=int, default=16)
+    parser.add_argument("--first-token-ms", type=float, default=20)
+    parser.add_argument("--token-ms", type=float, default=2)
+    parser.add_argument("--cache-entries", type=int, default=64)
+    parser.add_argument("--report-lag-s", type=float, default=0.2)
+    parser.add_argument("--qualities", default="{}", help="JSON, model to quality")
+    options = parser.parse_args()
+    engine = Engine(
+        Options(
+            options.id,
+            options.versions.split(","),
+            options.slots,
+            options.first_token_ms,
+            options.token_ms,
+            options.cache_entries,
+            options.report_lag_s,
+            json.loads(options.qualities),
+        )
+    )
+    serve(options.address, engine.handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/kv.py
@@ -0,0 +1,279 @@
+"""Stand-in of the platform: key-value service, and the list of instances.
+
+Speaks the part of Consul's key-value, session and health API that merlinnotch
+uses. ``PUT /standin/switches`` changes its behaviour:
+
+``down``         refuse every call (503)
+``hang``         accept and never answer
+``slow_ms``      delay of every call
+``lose_replies`` number of next writes that take effect but aren't answered
+``mute_watches`` watches hang for good
+``writes_per_s`` refuse writes over this rate (429)
+``list_lag_s``   lag of the list of instances
+"""
+
+from standins.server import HANG_S, Reply, serve
+
+import argparse
+import base64
+import itertools
+import json
+import time
+from dataclasses import dataclass
+
+import eventlet
+from eventlet.event import Event
+
+DEFAULT_WAIT_S = 10.0
+
+
+@dataclass
+class Switches:
+    """How the stand-in misbehaves."""
+
+    down: bool = False
+    hang: bool = False
+    slow_ms: float = 0.0
+    lose_replies: int = 0
+    mute_watches: bool = False
+    writes_per_s: float = 0.0
+    list_lag_s: float = 0.0
+
+
+@dataclass
+class Row:
+    """One key."""
+
+    value: bytes
+    modify_index: int
+    session: str | None = None
+
+
+@dataclass
+class Lease:
+    """One session."""
+
+    name: str
+    ttl_s: float
+    expires_at: float
+
+
+class Platform:
+    """All state of the stand-in."""
+
+    def __init__(self, rows):
+        self.switches = Switches()
+        self.rows = {}
+        self.leases = {}
+        self.index = 1
+        self.calls = {"read": 0, "write": 0, "watch": 0, "list": 0}
+        self.listed = rows
+        self.listed_at = {row["id"]: time.monotonic() for row in rows}
+        self._changed = Event()
+        self._lease_ids = itertools.count(1)
+        self._tokens = 0.0
+        self._refilled_at = time.monotonic()
+        eventlet.spawn(self._expire_leases)
+
+    def handle(self, request):
+        """Answer one request."""
+        if request.path.startswith("/standin/"):
+            return self._handle_control(request)
+        switches = self.switches
+        if switches.hang:
+            eventlet.sleep(HANG_S)
+        if switches.slow_ms:
+            eventlet.sleep(switches.slow_ms / 1000)
+        if switches.down:
+            return Reply({"error": "down"}, 503)
+        if request.path.startswith("/v1/health/service/"):
+            return self._list(request)
+        if request.method != "GET" and self._is_over_rate():
+            return Reply({"error": "rate"}, 429)
+        if request.path.startswith("/v1/session/"):
+            return self._lose(self._handle_session(request))
+        key = request.path.removeprefix("/v1/kv/")
+        if request.method == "GET":
+            return self._read(key, request.query)
+        return self._lose(self._write(key, request))
+
+    def _handle_control(self, request):
+        if request.path == "/standin/switches":
+            for name, value in request.json().items():
+                setattr(self.switches, name, value)
+            return Reply(vars(self.switches))
+        if request.path == "/standin/upstreams":
+            self.listed = request.json()
+            for row in self.listed:
+                self.listed_at.setdefault(row["id"], time.monotonic())
+            return Reply(True)
+        if request.path == "/standin/restore":
+            return self._restore(request.json())
+        if request.path == "/standin/dump":
+            rows = {k: base64.b64encode(r.value).decode() for k, r in self.rows.items()}
+            return Reply({"index": self.index, "rows": rows})
+        return Reply({"calls": self.calls, "index": self.index, "keys": len(self.rows)})
+
+    def _restore(self, dump):
+        """Put back an older state, with higher indexes, as a backup would."""
+        self.index += 1
+        self.rows = {
+            key: Row(base64.b64decode(value), self.index)
+            for key, value in dump["rows"].items()
+        }
+        self._notify()
+        return Reply(True)
+
+    def _is_over_rate(self):
+        rate = self.switches.writes_per_s
+        if not rate:
+            return False
+        now = time.monotonic()
+        self._tokens = min(rate, self._tokens + (now - self._refilled_at) * rate)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return True
+        self._tokens -= 1
+        return False
+
+    def _lose(self, reply):
+        if self.switches.lose_replies > 0:
+            self.switches.lose_replies -= 1
+            eventlet.sleep(HANG_S)
+        return reply
+
+    def _list(self, request):
+        self.calls["list"] += 1
+        pool = request.path.rpartition("/")[2]
+        lag = self.switches.list_lag_s
+        now = time.monotonic()
+        found = []
+        for row in self.listed:
+            if pool not in ("upstream", row["pool"]):
+                continue
+            if now - self.listed_at[row["id"]] < lag:
+                row = {**row, "state": "live"}
+            host, _, port = row["address"].partition(":")
+            meta = {"zone": row["zone"], "state": row.get("state", "live")}
+            service = {"ID": row["id"], "Service": row["pool"], "Address": host}
+            found.append({"Service": {**service, "Port": int(port), "Meta": meta}})
+        return Reply(found)
+
+    def _read(self, key, query):
+        if "index" in query:
+            self.calls["watch"] += 1
+            self._wait(key, query)
+        else:
+            self.calls["read"] += 1
+        recurse = "recurse" in query
+        rows = [
+            self._show(name, row)
+            for name, row in sorted(self.rows.items())
+            if name == key or (recurse and name.startswith(key))
+        ]
+        headers = {"X-Consul-Index": str(self.index)}
+        return Reply(rows, 200 if rows else 404, headers)
+
+    def _wait(self, key, query):
+        seen = int(query["index"])
+        wait = query.get("wait", f"{int(DEFAULT_WAIT_S * 1000)}ms")
+        deadline = time.monotonic() + float(wait.removesuffix("ms")) / 1000
+        while not self._changed_since(key, seen):
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return
+            event = self._changed
+            with eventlet.Timeout(left, False):
+                event.wait()
+            if self.switches.mute_watches:
+                eventlet.sleep(HANG_S)
+
+    def _changed_since(self, prefix, seen):
+        if seen > self.index:
+            return True
+        return any(
+            row.modify_index > seen
+            for name, row in self.rows.items()
+            if name.startswith(prefix)
+        )
+
+    def _show(self, name, row):
+        value = base64.b64encode(row.value).decode()
+        shown = {"Key": name, "Value": value, "ModifyIndex": row.modify_index}
+        if row.session:
+            shown["Session"] = row.session
+        return shown
+
+    def _write(self, key, request):
+        self.calls["write"] += 1
+        row = self.rows.get(key)
+        query = request.query
+        modify_index = row.modify_index if row else 0
+        if int(query.get("cas", modify_index)) != modify_index:
+            return Reply(False)
+        if "acquire" in query:
+            lease = self.leases.get(query["acquire"])
+            if lease is None or (row and row.session not in (None, query["acquire"])):
+                return Reply(False)
+        self.index += 1
+        if request.method == "DELETE":
+            self.rows.pop(key, None)
+        else:
+            session = query.get("acquire") or (row.session if row else None)
+            self.rows[key] = Row(request.body, self.index, session)
+        self._notify()
+        return Reply(True)
+
+    def _handle_session(self, request):
+        self.calls["write"] += 1
+        action, _, lease_id = request.path.removeprefix("/v1/session/").partition("/")
+        if action == "create":
+            fields = request.json()
+            ttl_s = float(fields["TTL"].removesuffix("s"))
+            lease_id = f"lease-{next(self._lease_ids)}"
+            expires_at = time.monotonic() + ttl_s
+            self.leases[lease_id] = Lease(fields["Name"], ttl_s, expires_at)
+            return Reply({"ID": lease_id})
+        lease = self.leases.get(lease_id)
+        if action == "renew":
+            if lease is None:
+                return Reply(None, 404)
+            lease.expires_at = time.monotonic() + lease.ttl_s
+            return Reply([{"ID": lease_id}])
+        self._end_lease(lease_id)
+        return Reply(True)
+
+    def _expire_leases(self):
+        while True:
+            eventlet.sleep(0.1)
+            now = time.monotonic()
+            for lease_id, lease in list(self.leases.items()):
+                if lease.expires_at < now:
+                    self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id):
+        self.leases.pop(lease_id, None)
+        for row in self.rows.values():
+            if row.session == lease_id:
+                self.index += 1
+                row.session = None
+                row.modify_index = self.index
+        self._notify()
+
+    def _notify(self):
+        event, self._changed = self._changed, Event()
+        event.send(True)
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--upstreams", default="[]", help="JSON rows of the list")
+    options = parser.parse_args()
+    platform = Platform(json.loads(options.upstreams))
+    serve(options.address, platform.handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/layout.py
@@ -0,0 +1,54 @@
+"""What a stack consists of."""
+
+from dataclasses import dataclass
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """One stand-in engine."""
+
+    id: str
+    zone: str
+    slots: int = 16
+    first_token_ms: float = 20.0
+    token_ms: float = 2.0
+
+
+@dataclass(frozen=True)
+class Layout:
+    """A deployment: entries by zone, engines, plain services.
+
+    *versions* are what each engine has loaded, *qualities* the stand-in
+    quality of each model's answers.
+    """
+
+    example: str
+    service_pool: str
+    versions: tuple[str, ...]
+    qualities: dict
+    entry_zones: tuple[str, ...] = tuple(zone for zone in ZONES for _ in range(2))
+    engines: tuple[EngineSpec, ...] = ()
+    service_zones: tuple[str, ...] = ZONES
+    drain_s: float = 1.0
+
+
+def _spread_engines(count):
+    return tuple(EngineSpec(f"engine-{n}", ZONES[n % 4]) for n in range(count))
+
+
+AUTHORITY = Layout(
+    example="examples/authority",
+    service_pool="marketplace",
+    versions=("swift@v2", "swift@v3", "swift@v4", "deep@v1"),
+    qualities={"swift": 0.8, "deep": 0.93},
+    engines=_spread_engines(6),
+)
+HEARTH_CALLS = Layout(
+    example="examples/hearth-calls",
+    service_pool="call-records",
+    versions=("gentle@v5", "gentle@v6", "careful@v1", "careful@v2"),
+    qualities={"gentle": 0.82, "careful": 0.94},
+    engines=_spread_engines(5),
+)
--- /dev/null
+++ b/standins/ratings.py
@@ -0,0 +1,91 @@
+"""Stand-in of the service that rates answers.
+
+Reads the quality that the stand-in engine wrote into the answer. A share of
+answers is judged quickly, for callers that wait; of the others a share is
+rated late. ``PUT /standin/switches``: ``down``, ``share``, ``delay_s``.
+"""
+
+from standins.server import Reply, serve
+
+import argparse
+import itertools
+import re
+from dataclasses import dataclass
+
+import eventlet
+
+QUALITY = re.compile(r"\[q=([0-9.]+)\]")
+JUDGE_S = 0.005
+KEPT_PER_SOURCE = 10_000
+
+
+@dataclass
+class Switches:
+    """How the stand-in misbehaves."""
+
+    down: bool = False
+    share: float = 1.0
+    delay_s: float = 0.5
+
+
+class Ratings:
+    """All state of the stand-in."""
+
+    def __init__(self):
+        self.switches = Switches()
+        self.rows = {}
+        self.submitted = 0
+        self._sequence = itertools.count(1)
+
+    def handle(self, request):
+        """Answer one request."""
+        if request.path == "/standin/switches":
+            for name, value in request.json().items():
+                setattr(self.switches, name, value)
+            return Reply(vars(self.switches))
+        if request.path == "/standin/state":
+            return Reply({"submitted": self.submitted})
+        if self.switches.down:
+            return Reply({"error": "down"}, 503)
+        if request.method == "GET":
+            after = int(request.query.get("after", 0))
+            rows = self.rows.get(request.query["source"], [])
+            return Reply([row for row in rows if row["sequence"] > after])
+        return self._submit(request.json())
+
+    def _submit(self, submission):
+        self.submitted += 1
+        if submission["wait_ms"]:
+            eventlet.sleep(JUDGE_S)
+            score = _score(submission)
+            eventlet.spawn_after(self.switches.delay_s, self._publish, submission)
+            return Reply({"score": score})
+        if (self.submitted * 0.618) % 1 < self.switches.share:
+            eventlet.spawn_after(self.switches.delay_s, self._publish, submission)
+        return Reply({}, 202)
+
+    def _publish(self, submission):
+        rows = self.rows.setdefault(submission["source"], [])
+        names = ("request_id", "version", "kind")
+        row = {name: submission[name] for name in names}
+        rows.append(
+            {**row, "sequence": next(self._sequence), "score": _score(submission)}
+        )
+        del rows[:-KEPT_PER_SOURCE]
+
+
+def _score(submission):
+    found = QUALITY.search(submission["answer"])
+    return float(found.group(1)) if found else 0.0
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    options = parser.parse_args()
+    serve(options.address, Ratings().handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,93 @@
+"""What the stand-ins have in common: a small JSON-over-HTTP server.
+
+Importing this module patches the process's sockets; import it first.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore")
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import eventlet.wsgi
+import json
+import signal
+import sys
+import urllib.parse
+from dataclasses import dataclass, field
+
+HANG_S = 3600.0
+REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 410: "Gone", 429: "Busy"}
+
+
+@dataclass
+class Request:
+    """One parsed request."""
+
+    method: str
+    path: str
+    query: dict
+    headers: dict
+    body: bytes
+    source_ip: str
+
+    def json(self):
+        """Return the body as JSON."""
+        return json.loads(self.body or b"{}")
+
+
+@dataclass
+class Reply:
+    """One reply; *body* is JSON-able, bytes, or an iterator of bytes."""
+
+    body: object = None
+    status: int = 200
+    headers: dict = field(default_factory=dict)
+
+
+def serve(address, handle):
+    """Serve *handle*, a function from Request to Reply, until a signal."""
+    host, _, port = address.partition(":")
+    listener = eventlet.listen((host, int(port)), backlog=1024)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    eventlet.wsgi.server(
+        listener, _Application(handle), log_output=False, max_size=8192, debug=True
+    )
+
+
+class _Application:
+    """Runs *handle*; ``PUT /standin/cut`` names addresses never answered."""
+
+    def __init__(self, handle):
+        self._handle = handle
+        self._cut = set()
+
+    def __call__(self, environ, start_response):
+        if environ["REMOTE_ADDR"] in self._cut:
+            eventlet.sleep(HANG_S)
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        request = Request(
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""), True)),
+            {k[5:]: v for k, v in environ.items() if k.startswith("HTTP_")},
+            environ["wsgi.input"].read(length) if length else b"",
+            environ["REMOTE_ADDR"],
+        )
+        if request.path == "/standin/cut":
+            self._cut = set(request.json())
+            reply = Reply(True)
+        else:
+            reply = self._handle(request)
+        body, headers = reply.body, dict(reply.headers)
+        if not isinstance(body, bytes) and not hasattr(body, "__next__"):
+            body = json.dumps(body).encode()
+            headers.setdefault("Content-Type", "application/json")
+        if isinstance(body, bytes):
+            headers["Content-Length"] = str(len(body))
+            body = [body]
+        status = f"{reply.status} {REASONS.get(reply.status, 'Status')}"
+        start_response(status, list(headers.items()))
+        return body
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,80 @@
+"""Stand-in of a plain service that counts every run of each request id.
+
+``PUT /standin/switches``: ``silent`` (run, then never answer), ``slow_ms``,
+``fail`` (run, then answer 500), ``leaving``. ``GET /standin/state`` tells how
+often each request id ran.
+"""
+
+from standins.server import HANG_S, Reply, serve
+
+import argparse
+import collections
+from dataclasses import dataclass
+
+import eventlet
+
+
+@dataclass
+class Switches:
+    """How the stand-in misbehaves."""
+
+    silent: bool = False
+    slow_ms: float = 0.0
+    fail: bool = False
+    leaving: bool = False
+
+
+class Service:
+    """All state of the stand-in."""
+
+    def __init__(self, name):
+        self.name = name
+        self.switches = Switches()
+        self.runs = collections.Counter()
+        self.running = 0
+
+    def handle(self, request):
+        """Answer one request."""
+        if request.path == "/standin/switches":
+            for name, value in request.json().items():
+                setattr(self.switches, name, value)
+            return Reply(vars(self.switches))
+        if request.path == "/standin/state":
+            return Reply({"runs": dict(self.runs)})
+        if request.path == "/load":
+            status = 410 if self.switches.leaving else 200
+            return Reply({"running": self.running, "waiting": 0, "slots": 64}, status)
+        return self._run(request)
+
+    def _run(self, request):
+        request_id = request.headers.get("X_REQUEST_ID", "")
+        headers = {"X-Request-Id": request_id}
+        if self.switches.leaving:
+            headers["X-Not-Run"] = "leaving"
+            return Reply({"error": "leaving"}, 503, headers)
+        self.runs[request_id] += 1
+        self.running += 1
+        try:
+            if self.switches.slow_ms:
+                eventlet.sleep(self.switches.slow_ms / 1000)
+            if self.switches.silent:
+                eventlet.sleep(HANG_S)
+        finally:
+            self.running -= 1
+        if self.switches.fail:
+            return Reply({"error": "failed"}, 500, headers)
+        answer = {"service": self.name, "run": self.runs[request_id]}
+        return Reply({**answer, "path": request.path}, 200, headers)
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--id", required=True)
+    options = parser.parse_args()
+    serve(options.address, Service(options.id).handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/stack.py
@@ -0,0 +1,367 @@
+"""A whole deployment as processes on loopback: ``python -m standins.stack``."""
+
+import hashlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+
+import urllib3
+
+from standins import http
+from standins.forwarder import Forwarder
+from standins.layout import AUTHORITY
+from standins.ports import PortPicker
+from standins.process import StackProcess
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+SIGNING_KEY = "stand-in signing key 1"
+PEER_KEY = "stand-in peer key number 1"
+FIRST_ENTRY_HOST = 11
+
+SETTINGS = """\
+[instance]
+name = "{name}"
+zone = "{zone}"
+caller_address = "{caller}"
+metrics_address = "{metrics}"
+peer_address = "{peer}"
+advertised_address = "{advertised}"
+
+[peers]
+seeds = {seeds}
+key_file = "peer.key"
+
+[store]
+addresses = ["{kv}"]
+timeout_s = 1.0
+
+[platform]
+address = "{kv}"
+
+[ratings]
+address = "{ratings}"
+
+[sessions]
+key_files = ["signing.key"]
+
+[shutdown]
+drain_s = {drain_s}
+deadline_s = 30.0
+"""
+OPERATOR_SETTINGS = """\
+[store]
+addresses = ["{kv}"]
+
+[operator]
+name = "demo"
+"""
+
+
+class StackEntry:
+    """One entry instance of a stack."""
+
+    def __init__(self, name, zone, host, ports):
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.caller = ports.pick(host)
+        self.metrics = ports.pick(host)
+        self.peer = ports.pick(host)
+        self.advertised = ports.pick(host)
+        self.forwarder = Forwarder(self.advertised, self.peer)
+        self.process = None
+
+    @property
+    def url(self):
+        """The base address for callers."""
+        return f"http://{self.caller}"
+
+
+class Stack:
+    """Starts, disturbs and stops the processes of a :class:`Layout`."""
+
+    def __init__(self, layout=AUTHORITY):
+        self.layout = layout
+        self._folder = tempfile.TemporaryDirectory(prefix="merlinnotch-")
+        self.folder = pathlib.Path(self._folder.name)
+        ports = PortPicker()
+        self.kv = ports.pick("127.0.0.1")
+        self.ratings = ports.pick("127.0.0.1")
+        self.engines = {
+            spec.id: ports.pick("127.0.0.1") for spec in self.layout.engines
+        }
+        self.services = {
+            f"service-{number}": ports.pick("127.0.0.1")
+            for number in range(len(self.layout.service_zones))
+        }
+        self.entries = [
+            StackEntry(
+                f"entry-{number}", zone, f"127.0.0.{FIRST_ENTRY_HOST + number}", ports
+            )
+            for number, zone in enumerate(self.layout.entry_zones)
+        ]
+        self.processes = {}
+        self._write_files()
+
+    def start(self):
+        """Start everything and apply the layout's example configuration."""
+        self._start_standins()
+        for entry in self.entries:
+            self.start_entry(entry)
+        self._wait_for_ports()
+        self.apply(ROOT / self.layout.example)
+        for entry in self.entries:
+            self.wait_until_ready(entry)
+        return self
+
+    def stop(self):
+        """Stop everything that runs; return whether all entries left well."""
+        codes = self._terminate("entry-")
+        self._terminate("")
+        for entry in self.entries:
+            entry.forwarder.close()
+        self._folder.cleanup()
+        return all(code == 0 for code in codes)
+
+    def start_entry(self, entry):
+        """Start an entry instance, or start it anew."""
+        path = self.folder / f"{entry.name}.toml"
+        command = [sys.executable, "-W", "ignore", "-m", "merlinnotch"]
+        entry.process = self._spawn(
+            entry.name, [*command, "serve", "--settings", str(path)]
+        )
+
+    def wait_until_ready(self, entry):
+        """Wait until an entry says that it is ready, and knows its upstreams."""
+        wait_for(lambda: _is_ready(entry.metrics), f"{entry.name} ready")
+
+    def run_command(self, *arguments):
+        """Run an operator's command; return its exit code and output."""
+        settings = self.folder / "operator.toml"
+        command = [sys.executable, "-W", "ignore", "-m", "merlinnotch"]
+        done = subprocess.run(
+            [*command, *arguments, "--settings", str(settings)],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def apply(self, folder, *options):
+        """Apply a folder of files; raises RuntimeError when that fails."""
+        code, output = self.run_command("apply", str(folder), *options)
+        if code:
+            raise RuntimeError(output)
+        return output
+
+    def read_team_keys(self):
+        """Return a valid key of each team of the layout's example."""
+        keys = {}
+        text = (ROOT / self.layout.example / "teams.toml").read_text()
+        for name, table in tomllib.loads(text)["teams"].items():
+            key = f"demo-key-of-{name}"
+            assert hashlib.sha256(key.encode()).hexdigest() == table["key_sha256"]
+            keys[name] = key
+        return keys
+
+    def set_switches(self, address, **switches):
+        """Change how a stand-in behaves."""
+        return http.put(address, "/standin/switches", switches)
+
+    def cut_zones(self, zones):
+        """Cut *zones* off from all other zones and from the platform."""
+        inside = {entry.host for entry in self.entries if entry.zone in zones}
+        outside = {entry.host for entry in self.entries} - inside
+        for entry in self.entries:
+            entry.forwarder.cut(outside if entry.zone in zones else inside)
+        for address in (self.kv, self.ratings):
+            http.put(address, "/standin/cut", sorted(inside))
+        for address, zone in self._list_upstream_zones():
+            cut = outside if zone in zones else inside
+            http.put(address, "/standin/cut", sorted(cut))
+
+    def heal(self):
+        """End all cuts."""
+        self.cut_zones(())
+
+    def describe(self):
+        """Return what ``make stack`` prints for programs."""
+        pids = {}
+        for process in self.processes.values():
+            pids.setdefault(process.role, []).append(process.pid)
+        return {
+            "entries": [entry.url for entry in self.entries],
+            "zones": [entry.zone for entry in self.entries],
+            "team_keys": self.read_team_keys(),
+            "kinds": list(self._read_kinds()),
+            "kv": self.kv,
+            "pids": pids,
+            "settings": str(self.folder / "operator.toml"),
+            "metrics": [entry.metrics for entry in self.entries],
+            "engines": self.engines,
+            "services": self.services,
+            "ratings": self.ratings,
+        }
+
+    def _read_kinds(self):
+        folder = ROOT / self.layout.example
+        kinds = tomllib.loads((folder / "kinds.toml").read_text())["kinds"]
+        services = tomllib.loads((folder / "services.toml").read_text())["services"]
+        return next(iter(kinds)), next(iter(services))
+
+    def _list_upstream_zones(self):
+        zones = {spec.id: spec.zone for spec in self.layout.engines}
+        for number, zone in enumerate(self.layout.service_zones):
+            zones[f"service-{number}"] = zone
+        for name, address in {**self.engines, **self.services}.items():
+            yield address, zones[name]
+
+    def list_upstreams(self):
+        """Return the rows of the platform's list."""
+        rows = [
+            {
+                "id": spec.id,
+                "address": self.engines[spec.id],
+                "zone": spec.zone,
+                "pool": "language",
+            }
+            for spec in self.layout.engines
+        ]
+        for number, zone in enumerate(self.layout.service_zones):
+            name = f"service-{number}"
+            row = {"id": name, "address": self.services[name], "zone": zone}
+            rows.append({**row, "pool": self.layout.service_pool})
+        return rows
+
+    def _start_standins(self):
+        rows = json.dumps(self.list_upstreams())
+        self._spawn_standin("kv", "kv", self.kv, "--upstreams", rows)
+        self._spawn_standin("ratings", "ratings", self.ratings)
+        for spec in self.layout.engines:
+            self.start_engine(spec)
+        for name, address in self.services.items():
+            self._spawn_standin(name, "service", address, "--id", name)
+
+    def start_engine(self, spec):
+        """Start a stand-in engine, or start it anew."""
+        self._spawn_standin(
+            spec.id,
+            "engine",
+            self.engines[spec.id],
+            "--id",
+            spec.id,
+            "--versions",
+            ",".join(self.layout.versions),
+            "--slots",
+            str(spec.slots),
+            "--first-token-ms",
+            str(spec.first_token_ms),
+            "--token-ms",
+            str(spec.token_ms),
+            "--qualities",
+            json.dumps(self.layout.qualities),
+        )
+
+    def _spawn_standin(self, name, module, address, *options):
+        command = [sys.executable, "-m", f"standins.{module}", "--address", address]
+        return self._spawn(name, [*command, *options], module)
+
+    def _spawn(self, name, arguments, role="entry"):
+        process = StackProcess(role, arguments, self.folder / f"{name}.log")
+        process.start()
+        self.processes[name] = process
+        return process
+
+    def _wait_for_ports(self):
+        for address in (self.kv, self.ratings, *self.engines.values()):
+            wait_for(lambda a=address: _answers(a), f"{address} up")
+        for address in self.services.values():
+            wait_for(lambda a=address: _answers(a), f"{address} up")
+
+    def _terminate(self, prefix):
+        """Ask processes to end all at once; return their exit codes."""
+        chosen = [
+            process
+            for name, process in self.processes.items()
+            if name.startswith(prefix) and process.is_running
+        ]
+        for process in chosen:
+            process.thaw()
+            process.send(signal.SIGTERM)
+        return [process.wait(STOP_TIMEOUT_S) for process in chosen]
+
+    def _write_files(self):
+        (self.folder / "signing.key").write_text(SIGNING_KEY)
+        (self.folder / "peer.key").write_text(PEER_KEY)
+        settings = OPERATOR_SETTINGS.format(kv=self.kv)
+        (self.folder / "operator.toml").write_text(settings)
+        for entry in self.entries:
+            others = [e.advertised for e in self.entries if e is not entry]
+            text = SETTINGS.format(
+                name=entry.name,
+                zone=entry.zone,
+                caller=entry.caller,
+                metrics=entry.metrics,
+                peer=entry.peer,
+                advertised=entry.advertised,
+                seeds=json.dumps(others),
+                kv=self.kv,
+                ratings=self.ratings,
+                drain_s=float(self.layout.drain_s),
+            )
+            (self.folder / f"{entry.name}.toml").write_text(text)
+
+
+def wait_for(condition, what, timeout_s=READY_TIMEOUT_S):
+    """Wait until *condition* holds; raises TimeoutError naming *what*."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(what)
+        time.sleep(POLL_S)
+
+
+def _answers(address):
+    try:
+        http.get(address, "/standin/state")
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return False
+    return True
+
+
+def _is_ready(address):
+    try:
+        reply = urllib3.request(
+            "GET", f"http://{address}/readyz", timeout=1.0, retries=False
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return reply.status == 200
+
+
+def main():
+    """Run a stack until a signal."""
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    stack = Stack()
+    try:
+        stack.start()
+        print(json.dumps(stack.describe()), flush=True)
+        asked.wait()
+    finally:
+        stack.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/specs/test_specs.py
@@ -0,0 +1,36 @@
+"""The specifications hold, and their broken variants fail."""
+
+import pytest
+from minicheck import check_safety
+
+from specs import configuration, ledger
+
+MAX_STATES = 400_000
+
+
+def check(protocol, name):
+    """Return whether the property *name* holds over all states."""
+    result = check_safety(protocol, max_states=MAX_STATES)
+    return result["properties"][name]["holds"]
+
+
+def test_ring_log_runs_a_request_at_most_once():
+    assert check(ledger.build_ring(), "at_most_one_run")
+
+
+@pytest.mark.parametrize("build", [ledger.build_blind, ledger.build_deleting])
+def test_broken_logs_run_a_request_twice(build):
+    assert not check(build(), "at_most_one_run")
+
+
+@pytest.mark.parametrize("name", ["never_reverts", "one_winner"])
+def test_configuration_holds(name):
+    assert check(configuration.build(), name)
+
+
+def test_trusting_instances_revert():
+    assert not check(configuration.build_trusting(), "never_reverts")
+
+
+def test_blind_apply_has_two_winners():
+    assert not check(configuration.build_blind_apply(), "one_winner")
