Submit answers for rating in batches

Cause: a profile of one entry under load gave 19% of its processor time to one HTTP request per answer to the rating service. Ruled out: JSON of the events (8%), token passing (4%). Change: answers wait up to 0.25 s and go in one request; at most 500 wait.

--- a/src/merlinnotch/_daemon/ratings.py
+++ b/src/merlinnotch/_daemon/ratings.py
@@ -3,7 +3,6 @@
 import json
 import logging
 
-import eventlet
 import urllib3
 
 from .._errors import MerlinnotchError
@@ -13,10 +12,11 @@
 logger = logging.getLogger("merlinnotch")
 
 RATINGS_PATH = "/v1/ratings"
+BATCH_PATH = "/v1/ratings/batch"
 TIMEOUT_S = 1.0
 JUDGE_WAIT_S = 0.05
 JUDGE_TIMEOUT_S = 0.15
-MAX_SUBMITTING = 64
+MAX_WAITING = 500
 PAUSE_AFTER_FAILURES = 5
 
 
@@ -30,7 +30,7 @@
     An answer without a rating counts neither way.
     """
 
-    interval_s = 0.5
+    interval_s = 0.25
 
     def __init__(self, settings, tallies, get_target):
         super().__init__()
@@ -39,7 +39,7 @@
         self._tallies = tallies
         self._get_target = get_target
         self._http = urllib3.PoolManager(maxsize=32, retries=False)
-        self._submitting = 0
+        self._waiting = []
         self._after = 0
         self._failures = 0
 
@@ -51,7 +51,8 @@
     def judge(self, call, version, text):
         """Return the score of an answer, from 0 to 1, or None in good time."""
         try:
-            row = self._post(call, version, text, JUDGE_WAIT_S, JUDGE_TIMEOUT_S)
+            body = json.dumps(self._describe(call, version, text, JUDGE_WAIT_S))
+            row = self._send("POST", RATINGS_PATH, body, JUDGE_TIMEOUT_S)
         except RatingsUnavailable:
             self._failures += 1
             return None
@@ -59,15 +60,16 @@
         return row.get("score")
 
     def submit(self, call, version, text):
-        """Have an answer rated in the background, unless many already are."""
-        if self._address is None or self._submitting >= MAX_SUBMITTING:
-            return
-        self._submitting += 1
-        eventlet.spawn(self._submit, call, version, text)
+        """Have an answer rated with the next batch, unless many wait already."""
+        if self._address is not None and len(self._waiting) < MAX_WAITING:
+            self._waiting.append(self._describe(call, version, text, 0))
 
     def run_once(self):
         if self._address is None:
             return
+        batch, self._waiting = self._waiting, []
+        if batch:
+            self._send("POST", BATCH_PATH, json.dumps(batch), TIMEOUT_S)
         query = f"?source={self._instance}&after={self._after}"
         rows = self._send("GET", f"{RATINGS_PATH}{query}", None, TIMEOUT_S)
         self._failures = 0
@@ -75,16 +77,8 @@
             self._after = max(self._after, row["sequence"])
             self._count(row["version"], row["kind"], row["score"])
 
-    def _submit(self, call, version, text):
-        try:
-            self._post(call, version, text, 0, TIMEOUT_S)
-        except RatingsUnavailable:
-            return
-        finally:
-            self._submitting -= 1
-
-    def _post(self, call, version, text, wait_s, timeout_s):
-        body = {
+    def _describe(self, call, version, text, wait_s):
+        return {
             "source": self._instance,
             "request_id": call.request_id,
             "version": version.id,
@@ -93,7 +87,6 @@
             "answer": text,
             "wait_ms": int(wait_s * 1000),
         }
-        return self._send("POST", RATINGS_PATH, json.dumps(body), timeout_s)
 
     def _send(self, method, path, body, timeout_s):
         url = f"http://{self._address}{path}"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -226,6 +226,7 @@
             quality -= self.switches.bad[body["model"]].get("drop", 0.2)
         quality = min(1.0, max(0.0, quality))
         length = 8 + int(24 * _hash_to_unit(run.request_id))
+        length = max(length, body.get("min_tokens") or 0)
         length = min(length, body.get("max_tokens") or length)
         words = [f"{WORDS[n % len(WORDS)]} " for n in range(length - 1)]
         return [f"[q={quality:.3f}] ", *words]
--- a/standins/ratings.py
+++ b/standins/ratings.py
@@ -51,6 +51,10 @@
             after = int(request.query.get("after", 0))
             rows = self.rows.get(request.query["source"], [])
             return Reply([row for row in rows if row["sequence"] > after])
+        if request.path.endswith("/batch"):
+            for submission in request.json():
+                self._submit(submission)
+            return Reply({}, 202)
         return self._submit(request.json())
 
     def _submit(self, submission):
