Heartbeats apart from words, and load told only when it changes

By count, most bytes were whole member records and load reports with their version lists, repeated twice a second to every peer; half the processor time was polling over HTTP. Ruled out: encoding (0.5% of a core). Change: beats are a state of their own and cross zones every 5 s; load goes out when it differs, versions when they change; rounds every second; ratings are polled only while some are due.

--- a/src/merlinnotch/_cli/reports.py
+++ b/src/merlinnotch/_cli/reports.py
@@ -34,7 +34,7 @@
         for member in zone_report.members:
             report = InstanceReport(
                 member.instance,
-                member.zone,
+                zone_report.zone,
                 member.revision,
                 member.stale_s,
                 member.leaving,
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -4,42 +4,42 @@
 
 from .._config import Revision
 from .._peers import (
+    Beat,
     GossipReply,
     GossipRequest,
     GossipState,
     InstanceTally,
     Leaving,
+    LoadedVersions,
     LoadReport,
     Member,
     Membership,
     Quarantine,
-    Scope,
 )
 from .link import PeerUnreachable
+from .progress import Progress
 from .task import Task
 
 NEAR_PEERS = 2
 FAR_PEERS = 1
+FAR_BEATS_EVERY_S = 5.0
+SEED_EVERY_BEATS = 5
 REQUEST_TIMEOUT_S = 1.0
+NO_BEATS = -1
 
 MEMBER = "member"
 TALLY = "tally"
 LEAVING = "leaving"
 LOAD = "load"
+VERSIONS = "versions"
 QUARANTINE = "quarantine"
 
-SCOPES = {
-    MEMBER: Scope.FLEET,
-    TALLY: Scope.FLEET,
-    LEAVING: Scope.FLEET,
-    LOAD: Scope.FLEET,
-    QUARANTINE: Scope.FLEET,
-}
-VALUE_TYPES = {
+WORD_TYPES = {
     MEMBER: Member,
     TALLY: InstanceTally,
     LEAVING: Leaving,
     LOAD: LoadReport,
+    VERSIONS: LoadedVersions,
     QUARANTINE: Quarantine,
 }
 
@@ -48,10 +48,12 @@
     """Tells a few peers what changed, and hears what changed there.
 
     Exchanges are pulls with a payload: a proof of the newest revision counts
-    from the moment we asked, however late the reply comes.
+    from the moment we asked, however late the reply comes. Words travel with
+    every exchange; heartbeats, which change all the time, cross zones only
+    every :data:`FAR_BEATS_EVERY_S` seconds.
     """
 
-    interval_s = 0.5
+    interval_s = 1.0
 
     def __init__(self, settings, peers, configurer, metrics, incarnation):
         super().__init__()
@@ -60,28 +62,22 @@
         self._configurer = configurer
         self._metrics = metrics
         self._incarnation = incarnation
-        self._heartbeat = 0
-        self._known_incarnations = {}
-        self._sent = {}
-        self._received = {}
+        self._progress = {}
         self._listeners = {}
+        self.beats_made = 0
         self.leaving = False
-        self.state = GossipState(SCOPES)
+        self.words = GossipState()
+        self.beats = GossipState()
         self.membership = Membership(settings.instance, settings.zone)
         peers.handlers[GossipRequest] = self.answer
 
-    @property
-    def beats(self):
-        """The number of gossip rounds so far."""
-        return self._heartbeat
-
     def listen(self, family, listener):
-        """Call *listener* with (key, value) for each newer entry of *family*."""
+        """Call *listener* with (key, value) for each newer word of *family*."""
         self._listeners.setdefault(family, []).append(listener)
 
     def publish(self, family, name, value):
         """Spread our own word; *name* is a tuple that tells it from others."""
-        if self.state.merge((family, *name), value):
+        if self.words.merge((family, *name), value):
             self._notify((family, *name), value)
 
     def run_once(self):
@@ -89,85 +85,104 @@
         self._beat(now)
         for address, name in self._pick_peers(now):
             try:
-                self._exchange(address, name)
+                self._exchange(address, name, now)
             except PeerUnreachable:
-                self._received.pop(name, None)
+                self._progress.pop(name, None)
         self._forget_dead(now)
 
     def answer(self, request):
         """Answer a peer's exchange."""
         now = time.monotonic()
+        name = request.instance
         with self._metrics.measure_control():
-            self._merge(request.entries, request.instance, now)
-            # What the peer has not seen: all, if it met another incarnation.
-            entries = self._select(request.instance, request.zone, request.seen)
+            self._merge(request.words, request.beats, name, now)
+            words = self.words.changes_since(request.seen_words, name)
+            beats = ()
+            if request.seen_beats != NO_BEATS:
+                beats = self.beats.changes_since(request.seen_beats, name)
         tracker = self._configurer.tracker
         behind = request.revision < tracker.number
         return GossipReply(
             self._incarnation,
-            self.state.sequence,
+            self.words.sequence,
+            self.beats.sequence,
             tracker.number,
             now - tracker.proved_at if tracker.number else -1.0,
             tracker.revision.encode() if behind else b"",
-            entries,
+            words,
+            beats,
         )
 
     def _beat(self, now):
-        self._heartbeat += 1
-        tracker = self._configurer.tracker
-        stale_s = now - tracker.proved_at if tracker.number else -1.0
+        self.beats_made += 1
+        name = self._settings.instance
         member = Member(
-            self._settings.instance,
             self._incarnation,
-            self._heartbeat,
             self._settings.zone,
             self._settings.advertised_address,
-            tracker.number,
-            round(stale_s, 1),
             self.leaving,
         )
-        self.state.merge((MEMBER, member.instance), member)
-        self.membership.note(member, now)
+        self.words.merge((MEMBER, name), member)
+        self.membership.note_member(name, member)
+        tracker = self._configurer.tracker
+        stale_ds = int(10 * (now - tracker.proved_at)) if tracker.number else -1
+        beat = Beat(self._incarnation, self.beats_made, tracker.number, stale_ds)
+        self.beats.merge((name,), beat)
+        self.membership.note_beat(name, beat, now)
         self._metrics.members.set(len(self.membership.list_live(now)))
 
     def _pick_peers(self, now):
         picked = self.membership.pick_gossip_peers(now, NEAR_PEERS, FAR_PEERS)
-        found = [(member.address, member.instance) for member in picked]
-        known = {member.address for member in self.membership.list_live(now)}
-        # Seeds are asked while they are unheard of, so that parts that lost
-        # each other meet again.
-        for seed in self._settings.seeds:
-            if seed not in known and seed != self._settings.advertised_address:
-                found.append((seed, seed))
+        found = [(member.address, name) for name, member in picked.items()]
+        if self.beats_made % SEED_EVERY_BEATS == 1 or not found:
+            found += self._list_lost_seeds(now)
         return found
 
-    def _exchange(self, address, name):
-        sequence = self.state.sequence
-        zone = self._zone_of(name)
+    def _list_lost_seeds(self, now):
+        """Return seeds nobody has heard of, so that lost parts meet again."""
+        known = {m.address for m in self.membership.list_live(now).values()}
+        known.add(self._settings.advertised_address)
+        return [(seed, seed) for seed in self._settings.seeds if seed not in known]
+
+    def _exchange(self, address, name, now):
+        progress = self._progress.get(name, Progress())
+        member = self.membership.get(name)
+        near = member is None or member.zone == self._settings.zone
+        with_beats = near or now - progress.beats_at >= FAR_BEATS_EVERY_S
+        sent = (self.words.sequence, self.beats.sequence)
         with self._metrics.measure_control():
-            entries = self._select(name, zone, self._sent.get(name, 0))
-        seen = self._received.get(name, (0, 0))
-        request = GossipRequest(
-            self._settings.instance,
-            self._settings.zone,
-            self._incarnation,
-            seen[1],
-            self._configurer.tracker.number,
-            entries,
-        )
+            request = self._build_request(name, progress, with_beats)
         asked_at = time.monotonic()
         reply = self._peers.request(address, request, REQUEST_TIMEOUT_S)
-        if seen[0] not in (0, reply.incarnation):
-            # The peer restarted: it has none of what the old one was told.
-            sequence, reply_sequence = 0, 0
+        if progress.incarnation in (0, reply.incarnation):
+            self._progress[name] = Progress(
+                reply.incarnation,
+                sent[0],
+                sent[1] if with_beats else progress.sent_beats,
+                reply.word_sequence,
+                reply.beat_sequence if with_beats else progress.seen_beats,
+                now if with_beats else progress.beats_at,
+            )
         else:
-            reply_sequence = reply.sequence
-        self._sent[name] = sequence
-        self._received[name] = (reply.incarnation, reply_sequence)
+            # The peer restarted: it has none of what the old one was told.
+            self._progress[name] = Progress(reply.incarnation)
         with self._metrics.measure_control():
-            self._merge(reply.entries, name, time.monotonic())
+            self._merge(reply.words, reply.beats, name, time.monotonic())
         self._take_revision(reply, asked_at)
 
+    def _build_request(self, name, progress, with_beats):
+        beats = ()
+        if with_beats:
+            beats = self.beats.changes_since(progress.sent_beats, name)
+        return GossipRequest(
+            self._settings.instance,
+            progress.seen_words,
+            progress.seen_beats if with_beats else NO_BEATS,
+            self._configurer.tracker.number,
+            self.words.changes_since(progress.sent_words, name),
+            beats,
+        )
+
     def _take_revision(self, reply, asked_at):
         if reply.revision == 0:
             return
@@ -177,33 +192,27 @@
         else:
             self._configurer.tracker.prove(reply.revision, proved_at)
 
-    def _select(self, peer, zone, sequence):
-        same_zone = zone == self._settings.zone
-        changes = self.state.changes_since(sequence, peer, same_zone)
-        return tuple((entry.key, entry.value) for entry in changes)
-
-    def _merge(self, entries, source, now):
-        for key, value in entries:
-            key = tuple(key)
-            if not isinstance(value, VALUE_TYPES.get(key[0], ())):
-                continue
-            if key == (MEMBER, self._settings.instance):
+    def _merge(self, words, beats, source, now):
+        own = self._settings.instance
+        for key, value in words:
+            if not isinstance(value, WORD_TYPES.get(key[0], ())):
                 continue
-            if key[0] == MEMBER and not self.membership.note(value, now):
+            if key == (MEMBER, own):
                 continue
-            if self.state.merge(key, value, source):
+            if self.words.merge(key, value, source):
+                if key[0] == MEMBER:
+                    self.membership.note_member(key[1], value)
                 self._notify(key, value)
+        for key, beat in beats:
+            if key != (own,) and self.membership.note_beat(key[0], beat, now):
+                self.beats.merge(key, beat, source)
 
     def _notify(self, key, value):
         for listener in self._listeners.get(key[0], ()):
             listener(key, value)
 
-    def _zone_of(self, name):
-        member = self.membership.get(name)
-        return member.zone if member else ""
-
     def _forget_dead(self, now):
         for name in self.membership.forget_dead(now):
-            self.state.drop((MEMBER, name))
-            self._sent.pop(name, None)
-            self._received.pop(name, None)
+            self.words.drop((MEMBER, name))
+            self.beats.drop((name,))
+            self._progress.pop(name, None)
--- a/src/merlinnotch/_daemon/guardian.py
+++ b/src/merlinnotch/_daemon/guardian.py
@@ -24,7 +24,7 @@
     reached, so that instances which start later know of it.
     """
 
-    interval_s = 0.5
+    interval_s = 1.0
 
     def __init__(self, gossiper, configurer, store, tallies, book, metrics):
         super().__init__()
@@ -37,6 +37,7 @@
         self._guard = None
         self._found = {}
         self._unsaved = {}
+        self._reset_for = {}
         self.by_version = {}
         configurer.listen(self._take_catalogue)
         gossiper.listen(QUARANTINE, lambda key, value: self.note(key[1], value))
@@ -115,5 +116,7 @@
                 tuning.guard_drop, tuning.guard_error_rate, tuning.guard_false_alarm
             )
         for version_id, quarantine in self._found.items():
-            if not self._is_in_force(version_id, quarantine):
+            cleared = not self._is_in_force(version_id, quarantine)
+            if cleared and self._reset_for.get(version_id) != quarantine:
+                self._reset_for[version_id] = quarantine
                 self._guard.reset(version_id)
--- a/src/merlinnotch/_daemon/ledger.py
+++ b/src/merlinnotch/_daemon/ledger.py
@@ -3,8 +3,7 @@
 import time
 
 from .._ledger import ClaimStatus, Query, bucket_of
-from .._peers import BeginReply, BeginRequest, RecordReply, RecordRequest
-from .._peers.membership import rank_first
+from .._peers import BeginReply, BeginRequest, RecordReply, RecordRequest, rank
 from .link import PeerUnreachable
 from .registry import RunRegistry
 from .writer import BucketWriter
@@ -12,6 +11,8 @@
 PEER_TIMEOUT_S = 1.0
 BEGIN_TIMEOUT_S = 0.15
 OWNERS_TRIED = 2
+AVOID_S = 5.0
+"""How long a peer that gave no reply is passed over."""
 
 
 class Ledger:
@@ -31,6 +32,7 @@
         self._metrics = metrics
         self._writers = {}
         self._registry = RunRegistry()
+        self._avoid_until = {}
         peers.handlers[RecordRequest] = self._answer_records
         peers.handlers[BeginRequest] = self._answer_begin
 
@@ -41,8 +43,8 @@
     def record_all(self, bucket, records, timeout_s):
         """Return the verdicts of records of one bucket, None where unknown."""
         deadline = time.monotonic() + timeout_s
-        for member in self._rank_owners(bucket):
-            if member.instance == self._instance:
+        for name, member in self._rank_owners(bucket):
+            if name == self._instance:
                 break
             left = min(deadline - time.monotonic(), PEER_TIMEOUT_S)
             if left <= 0:
@@ -51,6 +53,7 @@
                 request = RecordRequest(bucket, tuple(records))
                 reply = self._peers.request(member.address, request, left)
             except PeerUnreachable:
+                self._avoid_until[name] = time.monotonic() + AVOID_S
                 continue
             if all(verdict is not None for verdict in reply.verdicts):
                 return reply.verdicts
@@ -66,11 +69,12 @@
         """
         bucket = bucket_of(key)
         request = BeginRequest(bucket, key, digest, self._instance, replace)
-        owner = next(iter(self._rank_owners(bucket)), None)
-        if owner is None or owner.instance == self._instance:
+        owners = self._rank_owners(bucket)
+        if not owners or owners[0][0] == self._instance:
             return self._answer_begin(request)
+        address = owners[0][1].address
         try:
-            return self._peers.request(owner.address, request, BEGIN_TIMEOUT_S)
+            return self._peers.request(address, request, BEGIN_TIMEOUT_S)
         except PeerUnreachable:
             return BeginReply(self._instance, False)
 
@@ -80,14 +84,14 @@
         return verdict is not None and verdict.status is ClaimStatus.FREE
 
     def _rank_owners(self, bucket):
-        live = [m for m in self._membership.list_live(time.monotonic())]
-        live = [m for m in live if not m.leaving or m.instance == self._instance]
-        ranked = []
-        while live and len(ranked) < OWNERS_TRIED:
-            first = rank_first(f"bucket-{bucket}", live)
-            ranked.append(first)
-            live.remove(first)
-        return ranked
+        """Return the (name, member) pairs to ask, best first."""
+        now = time.monotonic()
+        staying = self._membership.list_staying(now)
+        for name, until in self._avoid_until.items():
+            if now < until:
+                staying.pop(name, None)
+        names = rank(f"bucket-{bucket}", staying, OWNERS_TRIED)
+        return [(name, staying[name]) for name in names]
 
     def _get_writer(self, bucket):
         if bucket not in self._writers:
--- a/src/merlinnotch/_daemon/loads.py
+++ b/src/merlinnotch/_daemon/loads.py
@@ -6,14 +6,14 @@
 import eventlet
 import urllib3
 
-from .._peers import Leaving, LoadReport
-from .._peers.membership import rank_first
-from .gossiper import LEAVING, LOAD
+from .._peers import Leaving, LoadedVersions, LoadReport, rank_first
+from .gossiper import LEAVING, LOAD, VERSIONS
 from .task import Task
 
 LOAD_PATH = "/load"
 TIMEOUT_S = 0.5
 LEAVING_STATUS = 410
+REPEAT_MS = 5000
 
 
 class Loads(Task):
@@ -23,7 +23,7 @@
     asked once an interval however many instances there are.
     """
 
-    interval_s = 0.25
+    interval_s = 0.5
 
     def __init__(self, settings, table, gossiper, metrics, on_change):
         super().__init__()
@@ -35,6 +35,7 @@
         self._http = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
         self._asking = set()
         gossiper.listen(LOAD, self._take_load)
+        gossiper.listen(VERSIONS, self._take_versions)
         gossiper.listen(LEAVING, self._take_leaving)
 
     def run_once(self):
@@ -47,8 +48,7 @@
             self._metrics.leaving.labels(listed.id).set(int(leaving))
             if listed.zone != zone or listed.id in self._asking:
                 continue
-            first = rank_first(listed.id, members)
-            if first is None or first.instance == self._settings.instance:
+            if rank_first(listed.id, members) in (None, self._settings.instance):
                 self._asking.add(listed.id)
                 eventlet.spawn(self._ask, upstream)
 
@@ -65,26 +65,34 @@
             if reply.status == LEAVING_STATUS:
                 self.report_leaving(listed.id)
             elif reply.status == 200:
-                self._gossiper.publish(LOAD, (listed.id,), _parse_load(reply.data))
+                self._publish(listed.id, json.loads(reply.data))
         except urllib3.exceptions.HTTPError:
             upstream.note_failure(time.monotonic())
         finally:
             self._asking.discard(listed.id)
 
+    def _publish(self, upstream_id, fields):
+        at_ms = int(time.time() * 1000)
+        report = LoadReport(
+            at_ms, int(fields["running"]), int(fields["waiting"]), int(fields["slots"])
+        )
+        # What does not change is told again only now and then.
+        known = self._gossiper.words.get((LOAD, upstream_id))
+        same = report.says_the_same(known)
+        if not (same and at_ms - known.at_ms < REPEAT_MS):
+            self._gossiper.publish(LOAD, (upstream_id,), report)
+        versions = tuple(sorted(fields.get("versions", ())))
+        loaded = self._gossiper.words.get((VERSIONS, upstream_id))
+        if versions and (loaded is None or loaded.versions != versions):
+            word = LoadedVersions(at_ms, versions)
+            self._gossiper.publish(VERSIONS, (upstream_id,), word)
+
     def _take_load(self, key, report):
         self._table.note_load(key[1], report, time.monotonic())
         self._on_change()
 
+    def _take_versions(self, key, loaded):
+        self._table.note_versions(key[1], loaded.versions)
+
     def _take_leaving(self, key, leaving):
         self._table.note_leaving(key[1], time.monotonic())
-
-
-def _parse_load(data):
-    fields = json.loads(data)
-    return LoadReport(
-        at=time.time(),
-        running=int(fields["running"]),
-        waiting=int(fields["waiting"]),
-        slots=int(fields["slots"]),
-        versions=tuple(fields.get("versions", ())),
-    )
--- a/src/merlinnotch/_daemon/outbox.py
+++ b/src/merlinnotch/_daemon/outbox.py
@@ -95,13 +95,14 @@
             self._copying = False
 
     def _copy_batch(self, bills):
-        holder = self._membership.pick_copy_holder(self._instance, time.monotonic())
+        holder = self._membership.pick_copy_holder(time.monotonic())
         message = KeepCopies(self._instance, self._incarnation, bills)
         try:
             if holder is not None:
-                self._peers.request(holder.address, message, COPY_TIMEOUT_S)
+                address = holder[1].address
+                self._peers.request(address, message, COPY_TIMEOUT_S)
                 for bill in bills:
-                    self._holders[bill.key] = holder.address
+                    self._holders[bill.key] = address
                 self._metrics.bills.labels("copied").inc(len(bills))
                 return
         except PeerUnreachable:
--- a/src/merlinnotch/_daemon/ratings.py
+++ b/src/merlinnotch/_daemon/ratings.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 
 import urllib3
 
@@ -17,6 +18,9 @@
 JUDGE_WAIT_S = 0.05
 JUDGE_TIMEOUT_S = 0.15
 MAX_WAITING = 500
+EXPECT_FOR_S = 120.0
+"""How long ratings are asked for after the last answer was submitted."""
+
 PAUSE_AFTER_FAILURES = 5
 
 
@@ -30,7 +34,7 @@
     An answer without a rating counts neither way.
     """
 
-    interval_s = 0.25
+    interval_s = 0.5
 
     def __init__(self, settings, tallies, get_target):
         super().__init__()
@@ -41,6 +45,8 @@
         self._http = urllib3.PoolManager(maxsize=32, retries=False)
         self._waiting = []
         self._after = 0
+        # A predecessor's answers may still be rated.
+        self._expect_until = time.monotonic() + EXPECT_FOR_S
         self._failures = 0
 
     @property
@@ -50,6 +56,7 @@
 
     def judge(self, call, version, text):
         """Return the score of an answer, from 0 to 1, or None in good time."""
+        self._expect_until = time.monotonic() + EXPECT_FOR_S
         try:
             body = json.dumps(self._describe(call, version, text, JUDGE_WAIT_S))
             row = self._send("POST", RATINGS_PATH, body, JUDGE_TIMEOUT_S)
@@ -70,6 +77,11 @@
         batch, self._waiting = self._waiting, []
         if batch:
             self._send("POST", BATCH_PATH, json.dumps(batch), TIMEOUT_S)
+        now = time.monotonic()
+        if batch:
+            self._expect_until = now + EXPECT_FOR_S
+        if now > self._expect_until:
+            return
         query = f"?source={self._instance}&after={self._after}"
         rows = self._send("GET", f"{RATINGS_PATH}{query}", None, TIMEOUT_S)
         self._failures = 0
--- a/src/merlinnotch/_daemon/status.py
+++ b/src/merlinnotch/_daemon/status.py
@@ -2,8 +2,7 @@
 
 import time
 
-from .._peers import REPORT_EVERY_S, ZoneReport
-from .._peers.membership import rank_first
+from .._peers import REPORT_EVERY_S, MemberReport, ZoneReport, rank_first
 from .._store.keys import STATUS_PREFIX
 from .task import Task
 
@@ -31,22 +30,22 @@
         now = time.monotonic()
         zone = self._settings.zone
         members = self._gossiper.membership.list_live(now, zone)
-        first = rank_first("status", members)
-        if first is None or first.instance != self._settings.instance:
+        if rank_first("status", members) != self._settings.instance:
             return
-        quarantined = sorted(self._guardian.quarantined)
-        view = [(m.instance, m.revision, m.leaving) for m in members]
+        reports = tuple(self._describe(name, m) for name, m in members.items())
+        quarantined = tuple(sorted(self._guardian.quarantined))
+        view = [(r.instance, r.revision, r.leaving) for r in reports]
         view.append(quarantined)
         if view == self._last_view and now - self._last_report < REPORT_EVERY_S:
             return
         report = ZoneReport(
-            time.time(),
-            zone,
-            self._settings.instance,
-            tuple(members),
-            tuple(quarantined),
+            time.time(), zone, self._settings.instance, reports, quarantined
         )
         key = f"{STATUS_PREFIX}{zone}/{self._settings.instance}"
         self._store.put(key, report.encode())
         self._last_view = view
         self._last_report = now
+
+    def _describe(self, name, member):
+        beat = self._gossiper.membership.get_beat(name)
+        return MemberReport(name, beat.revision, beat.stale_ds / 10, member.leaving)
--- a/src/merlinnotch/_daemon/tallies.py
+++ b/src/merlinnotch/_daemon/tallies.py
@@ -3,7 +3,7 @@
 from .._peers import InstanceTally, Tally
 from .gossiper import TALLY
 
-PUBLISH_AFTER_BEATS = 6
+PUBLISH_AFTER_BEATS = 3
 
 
 class Tallies:
@@ -30,7 +30,7 @@
 
     def publish(self):
         """Spread the counts that changed, once predecessors could be heard."""
-        if self._gossiper.beats < PUBLISH_AFTER_BEATS:
+        if self._gossiper.beats_made < PUBLISH_AFTER_BEATS:
             return
         changed, self._changed = self._changed, set()
         for key in changed:
@@ -41,7 +41,7 @@
     def sum_fleet(self):
         """Return the fleet's :class:`Tally` of each (version id, kind)."""
         sums = {}
-        for key, word in self._gossiper.state.select(TALLY):
+        for key, word in self._gossiper.words.select(TALLY):
             cell = key[2:]
             sums[cell] = sums.get(cell, Tally()).add(word.tally)
         return sums
--- a/src/merlinnotch/_peers/__init__.py
+++ b/src/merlinnotch/_peers/__init__.py
@@ -1,9 +1,10 @@
 """What instances know of each other, and how they tell it."""
 
-from .gossip import GossipState, Scope
+from .beat import Beat
+from .gossip import GossipState
 from .leaving import Leaving
 from .listing import ListedUpstream
-from .load import LoadReport
+from .load import LoadedVersions, LoadReport
 from .member import Member
 from .membership import Membership
 from .messages import (
@@ -24,12 +25,14 @@
     encode_message,
 )
 from .quarantine import Quarantine
-from .report import REPORT_EVERY_S, ZoneReport
+from .rendezvous import rank, rank_first
+from .report import REPORT_EVERY_S, MemberReport, ZoneReport
 from .tally import InstanceTally, Tally
 
 __all__ = [
     "MESSAGE_TYPES",
     "AnswerReply",
+    "Beat",
     "BeginReply",
     "BeginRequest",
     "DropCopies",
@@ -44,15 +47,18 @@
     "ListedUpstream",
     "ListingReply",
     "LoadReport",
+    "LoadedVersions",
     "Member",
+    "MemberReport",
     "Membership",
     "Quarantine",
     "REPORT_EVERY_S",
     "RecordReply",
     "RecordRequest",
-    "Scope",
     "Tally",
     "ZoneReport",
     "decode_message",
     "encode_message",
+    "rank",
+    "rank_first",
 ]
--- a/src/merlinnotch/_peers/gossip.py
+++ b/src/merlinnotch/_peers/gossip.py
@@ -1,16 +1,8 @@
 """State spread between instances, newest word wins."""
 
-import enum
 from dataclasses import dataclass
 
 
-class Scope(enum.IntEnum):
-    """How far a kind of entry travels."""
-
-    ZONE = 0
-    FLEET = 1
-
-
 @dataclass(frozen=True)
 class GossipEntry:
     """One value with its place in the local order of changes.
@@ -28,12 +20,10 @@
     """A map whose values only move forward in their ``order``.
 
     Every change gets a local sequence number, so that a peer can be sent
-    just what changed since the last exchange with it. *scopes* maps the first
-    part of a key to its :class:`Scope`.
+    just what changed since the last exchange with it.
     """
 
-    def __init__(self, scopes):
-        self._scopes = scopes
+    def __init__(self):
         self._entries = {}
         self.sequence = 0
 
@@ -68,20 +58,17 @@
             if key[0] == family
         ]
 
-    def changes_since(self, sequence, peer, same_zone):
-        """Return the entries to send to *peer*, oldest change first.
+    def changes_since(self, sequence, peer):
+        """Return the (key, value) pairs to send to *peer*, oldest change first.
 
         What the peer told us itself is left out, unless it asks for
-        everything, as it does after a restart; so is what must not leave the
-        zone when the peer is in another one.
+        everything, as it does after a restart.
         """
         found = []
         for entry in reversed(self._entries.values()):
             if entry.sequence <= sequence:
                 break
-            if entry.source == peer and sequence > 0:
-                continue
-            if same_zone or self._scopes[entry.key[0]] is Scope.FLEET:
-                found.append(entry)
+            if entry.source != peer or sequence == 0:
+                found.append((entry.key, entry.value))
         found.reverse()
-        return found
+        return tuple(found)
--- a/src/merlinnotch/_peers/messages.py
+++ b/src/merlinnotch/_peers/messages.py
@@ -5,9 +5,10 @@
 import cbor2
 
 from .._ledger import Bill, Claim, Query, Release, Verdict
+from .beat import Beat
 from .leaving import Leaving
 from .listing import ListedUpstream
-from .load import LoadReport
+from .load import LoadedVersions, LoadReport
 from .member import Member
 from .quarantine import Quarantine
 from .tally import InstanceTally, Tally
@@ -17,32 +18,36 @@
 class GossipRequest:
     """What changed since the last exchange; asks for the same.
 
-    *sequence* is the sender's latest local sequence, *seen* the latest one of
-    the receiver that the sender has, *revision* the number in force there.
+    *seen_words* and *seen_beats* are the latest sequences of the receiver
+    that the sender has, *seen_beats* -1 where it wants no beats this time;
+    *revision* is the number in force at the sender.
     """
 
     instance: str
-    zone: str
-    incarnation: int
-    seen: int
+    seen_words: int
+    seen_beats: int
     revision: int
-    entries: tuple
+    words: tuple
+    beats: tuple
 
 
 @dataclasses.dataclass(frozen=True)
 class GossipReply:
     """The answer to a :class:`GossipRequest`.
 
+    *word_sequence* and *beat_sequence* are what to ask from next time.
     *proof_age_s* is the age of the sender's proof that *revision* is the
     newest; *body* has its encoded bytes when the asker is behind.
     """
 
     incarnation: int
-    sequence: int
+    word_sequence: int
+    beat_sequence: int
     revision: int
     proof_age_s: float
     body: bytes
-    entries: tuple
+    words: tuple
+    beats: tuple
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,6 +163,8 @@
     InstanceTally,
     Query,
     ListedUpstream,
+    Beat,
+    LoadedVersions,
 )
 _CODES = {kind: code for code, kind in enumerate(MESSAGE_TYPES + _VALUE_TYPES)}
 _KINDS = {code: kind for kind, code in _CODES.items()}
@@ -176,9 +183,12 @@
     """
     try:
         correlation, packed = cbor2.loads(data)
-        return correlation, _unpack(packed)
+        message = _unpack(packed)
     except (cbor2.CBORDecodeError, TypeError, KeyError, IndexError) as error:
         raise ValueError(str(error)) from error
+    if not isinstance(message, MESSAGE_TYPES):
+        raise ValueError(f"{type(message).__name__} is no message")
+    return correlation, message
 
 
 def _pack(value):
--- a/src/merlinnotch/_peers/report.py
+++ b/src/merlinnotch/_peers/report.py
@@ -3,11 +3,19 @@
 import json
 from dataclasses import asdict, dataclass
 
-from .member import Member
-
 REPORT_EVERY_S = 10.0
 
 
+@dataclass(frozen=True)
+class MemberReport:
+    """One live instance; *stale_s* is the age of its proof in seconds."""
+
+    instance: str
+    revision: int
+    stale_s: float
+    leaving: bool
+
+
 @dataclass(frozen=True)
 class ZoneReport:
     """The live members of a zone as its reporter sees them.
@@ -18,7 +26,7 @@
     at: float
     zone: str
     reporter: str
-    members: tuple[Member, ...]
+    members: tuple[MemberReport, ...]
     quarantined: tuple[str, ...]
 
     def encode(self):
@@ -29,6 +37,6 @@
     def decode(cls, data):
         """Return the report in *data*."""
         row = json.loads(data)
-        members = tuple(Member(**member) for member in row.pop("members"))
+        members = tuple(MemberReport(**member) for member in row.pop("members"))
         quarantined = tuple(row.pop("quarantined"))
         return cls(**row, members=members, quarantined=quarantined)
--- a/src/merlinnotch/_routing/guard.py
+++ b/src/merlinnotch/_routing/guard.py
@@ -71,9 +71,10 @@
         return alarms
 
     def reset(self, version):
-        """Forget what was learned of *version*, once an operator redeclares it."""
-        for key in [key for key in self._series if key[0] == version]:
-            del self._series[key]
+        """Start over with *version* from here, once an operator clears it."""
+        for key, series in self._series.items():
+            if key[0] == version:
+                self._series[key] = _Series(seen=series.seen)
 
     def _test_errors(self, series, change):
         bad = math.log(self._error_rate / EXPECTED_ERROR_RATE)
--- a/src/merlinnotch/_routing/plan.py
+++ b/src/merlinnotch/_routing/plan.py
@@ -10,8 +10,8 @@
     """One version, or a cheap one first and a better one to escalate to.
 
     *cost* is the expected cost per request, *quality* the lower bound of the
-    expected quality, *duration_s* the expected time. *explores* tells a plan
-    chosen in order to learn.
+    expected quality, *duration_s* the expected time of all stages. *explores*
+    tells a plan chosen in order to learn.
     """
 
     stages: tuple[Version, ...]
--- a/src/merlinnotch/_routing/planner.py
+++ b/src/merlinnotch/_routing/planner.py
@@ -80,8 +80,9 @@
         better = self._estimate(kind, second, kind.name)
         escalate = 1 - cheap.accept
         quality = cheap.accept * cheap.accepted_mean + escalate * better.lower
+        # An answer that has to escalate still has to come in time.
         duration = self._book.get_duration_s(first.id, kind.name) + RATING_WAIT_S
-        duration += escalate * self._book.get_duration_s(second.id, kind.name)
+        duration += self._book.get_duration_s(second.id, kind.name)
         cost = self._price(kind, first) + escalate * self._price(kind, second)
         return Plan((first, second), cost, quality, duration)
 
--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -58,12 +58,16 @@
         upstream.running = report.running
         upstream.waiting = report.waiting
         upstream.slots = max(1, report.slots)
-        if report.versions:
-            upstream.versions = frozenset(report.versions)
         upstream.in_flight_at_report = upstream.in_flight
         upstream.reported_at = now
         upstream.limit.note_report(report.slots, report.waiting, upstream.in_flight)
 
+    def note_versions(self, upstream_id, versions):
+        """Take the versions that an upstream has loaded."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.versions = frozenset(versions)
+
     def find(self, pool, version, now, exclude=()):
         """Return the upstreams that may get new work, busy or not."""
         return [
--- /dev/null
+++ b/tests/peers/test_gossip.py
@@ -0,0 +1,136 @@
+"""Gossip state, heartbeats and messages."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from merlinnotch._ledger import Claim, ClaimStatus, Verdict
+from merlinnotch._peers import (
+    Beat,
+    GossipState,
+    InstanceTally,
+    LoadReport,
+    Member,
+    Membership,
+    RecordReply,
+    RecordRequest,
+    Tally,
+    decode_message,
+    encode_message,
+    rank,
+    rank_first,
+)
+from merlinnotch._peers.membership import FAR_SUSPECT_S, FORGET_AFTER_S, NEAR_SUSPECT_S
+
+
+def report(at_ms):
+    return LoadReport(at_ms, 1, 0, 8)
+
+
+@pytest.fixture
+def state():
+    return GossipState()
+
+
+@pytest.fixture
+def membership():
+    membership = Membership("me", "zone-a")
+    for name, zone in (("near", "zone-a"), ("far", "zone-b")):
+        membership.note_member(name, Member(1, zone, f"{name}:1", False))
+        membership.note_beat(name, Beat(1, 1, 1, 0), 0.0)
+        membership.note_beat(name, Beat(1, 2, 1, 0), 1.0)
+    return membership
+
+
+def test_values_move_forward_only(state):
+    assert state.merge(("load", "u"), report(2))
+    assert not state.merge(("load", "u"), report(1))
+    assert not state.merge(("load", "u"), report(2))
+    assert state.get(("load", "u")) == report(2)
+
+
+def test_only_changes_are_sent_and_not_back_to_their_source(state):
+    state.merge(("load", "u"), report(1), "peer")
+    seen = state.sequence
+    state.merge(("load", "v"), report(1))
+    state.merge(("load", "w"), report(1), "peer")
+    assert [key[1] for key, _ in state.changes_since(seen, "peer")] == ["v"]
+    assert [key[1] for key, _ in state.changes_since(seen, "other")] == ["v", "w"]
+
+
+def test_peer_that_restarted_gets_everything_back(state):
+    state.merge(("load", "u"), report(1), "peer")
+    assert len(state.changes_since(0, "peer")) == 1
+
+
+@given(st.lists(st.tuples(st.sampled_from("uvw"), st.integers(0, 9)), max_size=30))
+def test_merging_in_any_order_ends_the_same(changes):
+    states = [GossipState(), GossipState()]
+    for state, order in zip(states, (changes, changes[::-1]), strict=True):
+        for name, at in order:
+            state.merge(("load", name), report(at))
+    first, second = (dict(state.select("load")) for state in states)
+    assert first == second
+
+
+def test_heartbeats_keep_alive_for_a_while(membership):
+    assert set(membership.list_live(2.0)) == {"near", "far"}
+    assert not membership.is_live("near", 1.5 + NEAR_SUSPECT_S)
+    assert membership.is_live("far", 1.5 + NEAR_SUSPECT_S)
+    assert not membership.is_live("far", 1.5 + FAR_SUSPECT_S)
+
+
+def test_old_words_of_a_paused_peer_revive_nobody(membership):
+    later = 2 + FORGET_AFTER_S
+    assert set(membership.forget_dead(later)) == {"near", "far"}
+    assert not membership.note_beat("near", Beat(1, 2, 1, 0), later)
+    assert not membership.is_live("near", later)
+    assert membership.note_beat("near", Beat(2, 1, 1, 0), later)
+
+
+def test_first_word_of_a_stranger_counts_shortly(membership):
+    membership.note_member("dead", Member(1, "zone-a", "d:1", False))
+    membership.note_beat("dead", Beat(1, 500, 1, 0), 10.0)
+    assert membership.is_live("dead", 10.0)
+    assert not membership.is_live("dead", 10.0 + NEAR_SUSPECT_S / 2)
+
+
+def test_copies_go_to_another_zone_if_there_is_one(membership):
+    name, _ = membership.pick_copy_holder(2.0)
+    assert name == "far"
+    membership.note_member("far", Member(1, "zone-b", "far:1", True))
+    name, _ = membership.pick_copy_holder(2.0)
+    assert name == "near"
+
+
+def test_rendezvous_moves_only_what_was_held():
+    names = [f"entry-{n}" for n in range(8)]
+    before = {key: rank_first(str(key), names) for key in range(200)}
+    after = {key: rank_first(str(key), names[:-1]) for key in range(200)}
+    moved = [key for key in before if before[key] != after[key]]
+    assert all(before[key] == "entry-7" for key in moved)
+    assert rank("1", names, 2)[0] == before[1]
+    assert rank_first("1", []) is None
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        RecordRequest(3, (Claim(b"k", "a", "entry-1", b"d", 1.5),)),
+        RecordReply((Verdict(ClaimStatus.TAKEN, "entry-2"), None)),
+    ],
+)
+def test_messages_come_back_as_they_went(message):
+    assert decode_message(encode_message(message, 7)) == (7, message)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x82\x01\x02\x03", b"\x01"])
+def test_bytes_that_are_no_message_are_refused(data):
+    with pytest.raises(ValueError):
+        decode_message(data)
+
+
+def test_tallies_of_a_restarted_instance_are_newer():
+    old = InstanceTally(1, Tally(answers=50))
+    assert InstanceTally(2, Tally(answers=3)).order > old.order
+    assert InstanceTally(1, Tally(answers=51)).order > old.order
