--- a/src/merlinnotch/_config/__init__.py
+++ b/src/merlinnotch/_config/__init__.py
@@ -5,6 +5,7 @@
 from .kind import Kind
 from .loader import load_catalogue, load_files, parse_catalogue
 from .model import Model
+from .pool import Pool
 from .revision import Revision
 from .revisions import RevisionLog
 from .service import Service
@@ -19,6 +20,7 @@
     "Fault",
     "Kind",
     "Model",
+    "Pool",
     "Revision",
     "RevisionLog",
     "RevisionTracker",
--- a/src/merlinnotch/_config/catalogue.py
+++ b/src/merlinnotch/_config/catalogue.py
@@ -6,6 +6,7 @@
 
 from .kind import Kind
 from .model import Model
+from .pool import Pool
 from .service import Service
 from .team import Team
 from .tuning import Tuning
@@ -19,6 +20,7 @@
     models: dict[str, Model]
     kinds: dict[str, Kind]
     services: dict[str, Service]
+    pools: dict[str, Pool]
     tuning: Tuning
 
     @functools.cached_property
--- a/src/merlinnotch/_config/loader.py
+++ b/src/merlinnotch/_config/loader.py
@@ -10,6 +10,7 @@
 from .fault import Fault
 from .kind import Kind
 from .model import Model
+from .pool import Pool
 from .references import find_bad_references
 from .schema import Document
 from .service import Service
@@ -103,6 +104,9 @@
         services={
             name: _build_service(name, t) for name, t in checked.services.items()
         },
+        pools={
+            name: Pool(name, t.manage_versions) for name, t in checked.pools.items()
+        },
         tuning=Tuning(**checked.tuning.model_dump()),
     )
 
--- a/src/merlinnotch/_config/schema.py
+++ b/src/merlinnotch/_config/schema.py
@@ -53,6 +53,10 @@
     cost_per_call: Annotated[float, Field(ge=0)] = 0.0
 
 
+class PoolTable(_Table):
+    manage_versions: bool = False
+
+
 class TuningTable(_Table):
     fresh_for_s: Positive = 10.0
     retry_ratio: Fraction = 0.1
@@ -69,4 +73,5 @@
     models: dict[Name, ModelTable] = {}
     kinds: dict[Name, KindTable] = {}
     services: dict[Name, ServiceTable] = {}
+    pools: dict[Name, PoolTable] = {}
     tuning: TuningTable = TuningTable()
--- a/src/merlinnotch/_daemon/configurer.py
+++ b/src/merlinnotch/_daemon/configurer.py
@@ -59,6 +59,7 @@
         self._metrics.revisions.labels(result.value).inc()
         if result is Offer.TAKEN:
             self._metrics.revision.set(revision.number)
+            self._metrics.revision_taken_at.set(time.time())
             logger.info("revision in force", extra={"revision": revision.number})
             for listener in self._listeners:
                 listener(self.tracker.catalogue)
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -63,6 +63,7 @@
         self._metrics = metrics
         self._incarnation = incarnation
         self._progress = {}
+        self._far_beats_at = float("-inf")
         self._listeners = {}
         self.beats_made = 0
         self.leaving = False
@@ -148,7 +149,9 @@
         progress = self._progress.get(name, Progress())
         member = self.membership.get(name)
         near = member is None or member.zone == self._settings.zone
-        with_beats = near or now - progress.beats_at >= FAR_BEATS_EVERY_S
+        with_beats = near or now - self._far_beats_at >= FAR_BEATS_EVERY_S
+        if with_beats and not near:
+            self._far_beats_at = now
         sent = (self.words.sequence, self.beats.sequence)
         with self._metrics.measure_control():
             request = self._build_request(name, progress, with_beats)
@@ -161,7 +164,6 @@
                 sent[1] if with_beats else progress.sent_beats,
                 reply.word_sequence,
                 reply.beat_sequence if with_beats else progress.seen_beats,
-                now if with_beats else progress.beats_at,
             )
         else:
             # The peer restarted: it has none of what the old one was told.
--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -25,6 +25,7 @@
 from .ledger import Ledger
 from .loads import Loads
 from .metrics import Metrics
+from .orderer import Orderer
 from .outbox import Outbox
 from .parsing import CallParser
 from .peers import Peers
@@ -102,6 +103,7 @@
             outbox,
             raters,
             guardian,
+            Orderer(settings, store, table, gossiper.membership, configurer, metrics),
             StatusReporter(settings, store, gossiper, guardian),
         )
 
--- a/src/merlinnotch/_daemon/metrics.py
+++ b/src/merlinnotch/_daemon/metrics.py
@@ -44,6 +44,7 @@
         self.control_cpu = self._counter(
             "control_cpu_seconds", "Processor time spent on control"
         )
+        self.orders = self._counter("orders", "Orders to upstreams by reply", "reply")
         self.alarms = self._counter(
             "guard_alarms", "Alarms of the version guard", "reason"
         )
@@ -54,6 +55,9 @@
             buckets=LATENCY_BUCKETS,
         )
         self.revision = self._gauge("revision", "Revision in force")
+        self.revision_taken_at = self._gauge(
+            "revision_taken_at", "When the revision in force was taken, in Unix time"
+        )
         self.unposted = self._gauge("unposted_bills", "Bills not yet in the ledger")
         self.in_progress = self._gauge("requests_in_progress", "Requests in progress")
         self.leaving = self._gauge(
--- /dev/null
+++ b/src/merlinnotch/_daemon/orderer.py
@@ -0,0 +1,137 @@
+"""Giving orders to the upstreams of a zone."""
+
+import json
+import logging
+import time
+
+import urllib3
+
+from .._errors import StoreConflict
+from .._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
+from .._peers import rank_first
+from .._store.keys import ORDERS_PREFIX
+from .task import Task
+
+logger = logging.getLogger("merlinnotch")
+
+ORDERS_PATH = "/orders"
+RENEW_EVERY_S = 2.0
+REPEAT_AFTER_S = 5.0
+"""How long an upstream is given to show that it followed an order."""
+
+MAX_ORDER_S = 2.0
+
+
+class Orderer(Task):
+    """Contends for the lease of its zone, and orders while it holds it.
+
+    Only the live instance that ranks first contends, and only while there is
+    something to order, so that an idle fleet costs the store nothing.
+    """
+
+    interval_s = 1.0
+
+    def __init__(self, settings, store, table, membership, configurer, metrics):
+        super().__init__()
+        self._settings = settings
+        self._store = store
+        self._table = table
+        self._membership = membership
+        self._configurer = configurer
+        self._metrics = metrics
+        self._key = f"{ORDERS_PREFIX}{settings.zone}"
+        self._lease = OrderLease()
+        self._lease_id = None
+        self._renewed_at = float("-inf")
+        self._ordered_at = {}
+        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+
+    def run_once(self):
+        now = time.monotonic()
+        orders = self._plan(now)
+        if not orders or not self._is_first(now):
+            self._let_go()
+            return
+        self._hold()
+        for order in orders:
+            self._give(order)
+
+    def _plan(self, now):
+        tracker = self._configurer.tracker
+        # Instances without a fresh revision would undo the orders of others.
+        if not tracker.is_fresh(now):
+            return []
+        zone = self._settings.zone
+        own = [u for u in self._table if u.listed.zone == zone]
+        return plan_orders(tracker.catalogue, own, now)
+
+    def _is_first(self, now):
+        members = self._membership.list_live(now, self._settings.zone)
+        return rank_first(self._key, members) == self._settings.instance
+
+    def _hold(self):
+        """Acquire the lease, or renew it."""
+        asked_at = time.monotonic()
+        if self._lease_id is None:
+            self._acquire(asked_at)
+        elif asked_at - self._renewed_at >= RENEW_EVERY_S:
+            try:
+                self._store.renew_lease(self._lease_id)
+            except StoreConflict:
+                self._forget()
+                return
+            self._lease.renew(asked_at)
+            self._renewed_at = asked_at
+
+    def _acquire(self, asked_at):
+        item = self._store.read(self._key).get(self._key)
+        if item is not None and item.session:
+            return
+        fence = LeaseHolder.decode(item.value).fence + 1 if item else 1
+        holder = LeaseHolder(self._settings.instance, fence)
+        lease_id = self._store.open_lease(LEASE_TTL_S, self._settings.instance)
+        if not self._store.acquire(self._key, holder.encode(), lease_id):
+            return
+        # Two that read the same fence can't both hold the lease, but the
+        # second may follow the first with it; only what is stored counts.
+        stored = self._store.read(self._key).get(self._key)
+        if stored.session != lease_id or stored.value != holder.encode():
+            return
+        self._lease_id = lease_id
+        self._lease.acquire(fence, asked_at)
+        self._renewed_at = asked_at
+        logger.info("holds orders", extra={"fence": fence})
+
+    def _give(self, order):
+        now = time.monotonic()
+        if not self._lease.may_order(now):
+            return
+        if now - self._ordered_at.get(order.upstream, float("-inf")) < REPEAT_AFTER_S:
+            return
+        upstream = self._table.get(order.upstream)
+        self._ordered_at[order.upstream] = now
+        body = {"fence": self._lease.fence, "versions": order.versions}
+        timeout_s = min(MAX_ORDER_S, self._lease.get_time_left(now))
+        url = f"http://{upstream.listed.address}{ORDERS_PATH}"
+        try:
+            reply = self._http.request(
+                "PUT", url, body=json.dumps(body), timeout=timeout_s
+            )
+        except urllib3.exceptions.HTTPError:
+            self._metrics.orders.labels("unanswered").inc()
+            return
+        accepted = reply.status == 200
+        self._metrics.orders.labels("accepted" if accepted else "refused").inc()
+        if not accepted:
+            self._forget()
+
+    def _let_go(self):
+        if self._lease_id is None:
+            return
+        lease_id = self._lease_id
+        self._forget()
+        self._store.close_lease(lease_id)
+
+    def _forget(self):
+        self._lease_id = None
+        self._lease.lose()
--- a/src/merlinnotch/_daemon/progress.py
+++ b/src/merlinnotch/_daemon/progress.py
@@ -8,7 +8,6 @@
     """What one peer was sent and what it has sent, by sequence numbers.
 
     *incarnation* is the peer's; a new one has none of what the old one had.
-    *beats_at* is when beats were last exchanged, on the monotonic clock.
     """
 
     incarnation: int = 0
@@ -16,4 +15,3 @@
     sent_beats: int = 0
     seen_words: int = 0
     seen_beats: int = 0
-    beats_at: float = float("-inf")
--- a/standins/server.py
+++ b/standins/server.py
@@ -49,11 +49,15 @@
 
 def serve(address, handle):
     """Serve *handle*, a function from Request to Reply, until a signal."""
-    host, _, port = address.partition(":")
-    listener = eventlet.listen((host, int(port)), backlog=1024)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    listen(address, handle)
+
+
+def listen(address, handle):
+    """Serve *handle* in the calling green thread."""
+    host, _, port = address.partition(":")
     eventlet.wsgi.server(
-        listener,
+        eventlet.listen((host, int(port)), backlog=1024),
         _Application(handle),
         log_output=False,
         max_size=8192,
--- a/standins/stack.py
+++ b/standins/stack.py
@@ -116,7 +116,18 @@
         self._write_files()
 
     def start(self):
-        """Start everything and apply the layout's example configuration."""
+        """Start everything and apply the layout's example configuration.
+
+        Stops what it started when something goes wrong.
+        """
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def _start(self):
         self._start_standins()
         for entry in self.entries:
             self.start_entry(entry)
@@ -124,7 +135,6 @@
         self.apply(ROOT / self.layout.example)
         for entry in self.entries:
             self.wait_until_ready(entry)
-        return self
 
     def stop(self):
         """Stop everything that runs; return whether all entries left well."""
@@ -246,6 +256,19 @@
             rows.append({**row, "pool": self.layout.service_pool})
         return rows
 
+    def start_herd(self, zone, count):
+        """Add *count* upstreams of a zone that only answer for their load."""
+        near = self.kv.partition(":")[0]
+        ports = PortPicker()
+        addresses = [ports.pick(near) for _ in range(count)]
+        command = [sys.executable, "-m", "standins.herd"]
+        self._spawn("herd", [*command, "--addresses", ",".join(addresses)], "herd")
+        rows = [
+            {"id": f"herd-{n}", "address": address, "zone": zone, "pool": "herd"}
+            for n, address in enumerate(addresses)
+        ]
+        http.put(self.kv, "/standin/upstreams", [*self.list_upstreams(), *rows])
+
     def _start_standins(self):
         rows = json.dumps(self.list_upstreams())
         self._spawn_standin("kv", "kv", self.kv, "--upstreams", rows)
--- a/tests/routing/conftest.py
+++ b/tests/routing/conftest.py
@@ -46,4 +46,4 @@
 @pytest.fixture
 def catalogue(swift, deep, kind, team):
     models = {"swift": swift, "deep": deep}
-    return Catalogue({"desk": team}, models, {"match": kind}, {}, Tuning())
+    return Catalogue({"desk": team}, models, {"match": kind}, {}, {}, Tuning())
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -156,8 +156,12 @@
         self.stack.set_switches(self.stack.kv, **switches)
 
     def metric(self, entry, name):
+        """Return the sum of a metric's samples on an entry, by its number."""
+        return self.metric_of(self.entry(entry), name)
+
+    def metric_of(self, entry, name):
         """Return the sum of a metric's samples on an entry."""
-        url = f"http://{self.entry(entry).metrics}/metrics"
+        url = f"http://{entry.metrics}/metrics"
         text = self._http.request("GET", url, timeout=5.0).data.decode()
         rows = [line.split() for line in text.splitlines() if line.startswith(name)]
         return sum(float(row[-1]) for row in rows)
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specs import configuration, ledger
+from specs import configuration, ledger, orders
 
 MAX_STATES = 400_000
 
@@ -34,3 +34,22 @@
 
 def test_blind_apply_has_two_winners():
     assert not check(configuration.build_blind_apply(), "one_winner")
+
+
+ORDERS = "never_back_to_an_old_holder"
+
+
+@pytest.mark.parametrize("pauses", [False, True])
+def test_engines_that_honour_the_fence_never_go_back(pauses):
+    assert check(orders.build(honours=True, pauses=pauses), ORDERS)
+
+
+def test_engines_that_ignore_it_are_kept_safe_by_the_clock():
+    assert check(orders.build(honours=False), ORDERS)
+
+
+@pytest.mark.parametrize(
+    "broken", [{"waits": False, "stops_early": False}, {"pauses": True}]
+)
+def test_without_the_clock_engines_that_ignore_it_go_back(broken):
+    assert not check(orders.build(honours=False, **broken), ORDERS)
