--- a/tests/scenarios/ledger.feature
+++ b/tests/scenarios/ledger.feature
@@ -77,3 +77,13 @@
     Then each of the 6 bookings has run at most once
     When the cut heals
     Then every booking ends up billed as often as it ran
+
+  Scenario: A retry that is refused while the first attempt runs
+    Given a booking "b-7" that takes long is sent through entry 0
+    When all plain services say that they are leaving
+    And booking "b-7" is sent through entry 2
+    Then the answer is 503 with outcome "unknown"
+    When booking "b-8" is sent through entry 2
+    Then the answer is 503 with outcome "not-run"
+    And the caller is told when to come back
+    And booking "b-8" has run 0 times
--- a/tests/scenarios/test_ledger.py
+++ b/tests/scenarios/test_ledger.py
@@ -65,3 +65,10 @@
 def _billed_as_run(world):
     world.wait_for_bills(world.notes["runs"])
     assert world.read_bills() == world.notes["runs"]
+
+
+@when("all plain services say that they are leaving")
+def _all_leaving(world):
+    world.set_services(leaving=True)
+    for name in world.stack.services:
+        wait_for(lambda n=name: world.knows_leaving(2, n), f"{name} leaving")
