--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-from benchmarks.caller import CallerPlan, Sample
+from benchmarks.plan import CallerPlan, Sample
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
--- a/src/merlinnotch/_daemon/directory.py
+++ b/src/merlinnotch/_daemon/directory.py
@@ -56,8 +56,7 @@
     def _ask_peers(self):
         """Start from what a peer knows while the platform is out of reach."""
         now = time.monotonic()
-        peers = self._membership.pick_gossip_peers(now, PEERS_ASKED, PEERS_ASKED)
-        for member in peers.values():
+        for member in self._membership.pick_partners(now, PEERS_ASKED).values():
             try:
                 reply = self._peers.request(member.address, FetchListing(), TIMEOUT_S)
             except PeerUnreachable:
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -15,19 +15,22 @@
     Member,
     Membership,
     Quarantine,
+    ZoneView,
+    rank_first,
 )
 from .link import PeerUnreachable
 from .progress import Progress
 from .task import Task
 
-NEAR_PEERS = 2
-FAR_PEERS = 1
-FAR_BEATS_EVERY_S = 5.0
+FAR_PARTNERS = 2
 SEED_EVERY_BEATS = 5
+VIEW_EVERY_S = 8.0
 REQUEST_TIMEOUT_S = 1.0
-NO_BEATS = -1
+MANY_UPSTREAMS = 64
+"""Up to this many, every zone hears of the load of each upstream."""
 
 MEMBER = "member"
+ZONE = "zone"
 TALLY = "tally"
 LEAVING = "leaving"
 LOAD = "load"
@@ -36,6 +39,7 @@
 
 WORD_TYPES = {
     MEMBER: Member,
+    ZONE: ZoneView,
     TALLY: InstanceTally,
     LEAVING: Leaving,
     LOAD: LoadReport,
@@ -45,12 +49,12 @@
 
 
 class Gossiper(Task):
-    """Tells a few peers what changed, and hears what changed there.
+    """Tells partners what changed, and hears what changed there.
 
     Exchanges are pulls with a payload: a proof of the newest revision counts
     from the moment we asked, however late the reply comes. Words travel with
-    every exchange; heartbeats, which change all the time, cross zones only
-    every :data:`FAR_BEATS_EVERY_S` seconds.
+    every exchange, heartbeats within a zone only; one instance tells other
+    zones who is live in ours.
     """
 
     interval_s = 1.0
@@ -63,8 +67,8 @@
         self._metrics = metrics
         self._incarnation = incarnation
         self._progress = {}
-        self._far_beats_at = float("-inf")
         self._listeners = {}
+        self._view = ZoneView(0, ())
         self.beats_made = 0
         self.leaving = False
         self.words = GossipState()
@@ -84,26 +88,30 @@
     def run_once(self):
         now = time.monotonic()
         self._beat(now)
+        self._tell_zone(now)
         for address, name in self._pick_peers(now):
             try:
-                self._exchange(address, name, now)
+                self._exchange(address, name)
             except PeerUnreachable:
                 self._progress.pop(name, None)
         self._forget_dead(now)
+        self._peers.close_idle(now)
 
     def answer(self, request):
         """Answer a peer's exchange."""
         now = time.monotonic()
         name = request.instance
+        near = request.zone == self._settings.zone
         with self._metrics.measure_control():
             self._merge(request.words, request.beats, name, now)
-            words = self.words.changes_since(request.seen_words, name)
+            words = self._select_words(request.seen_words, name, near)
             beats = ()
-            if request.seen_beats != NO_BEATS:
+            if near:
                 beats = self.beats.changes_since(request.seen_beats, name)
         tracker = self._configurer.tracker
         behind = request.revision < tracker.number
         return GossipReply(
+            self._settings.zone,
             self._incarnation,
             self.words.sequence,
             self.beats.sequence,
@@ -132,8 +140,20 @@
         self.membership.note_beat(name, beat, now)
         self._metrics.members.set(len(self.membership.list_live(now)))
 
+    def _tell_zone(self, now):
+        """Tell other zones who is live in ours, if that is for us to tell."""
+        zone = self._settings.zone
+        live = tuple(self.membership.list_live(now, zone))
+        if rank_first(f"speakers-{zone}", live) != self._settings.instance:
+            return
+        at_ms = int(time.time() * 1000)
+        if live == self._view.live and at_ms - self._view.at_ms < VIEW_EVERY_S * 1000:
+            return
+        self._view = ZoneView(at_ms, live)
+        self.publish(ZONE, (zone,), self._view)
+
     def _pick_peers(self, now):
-        picked = self.membership.pick_gossip_peers(now, NEAR_PEERS, FAR_PEERS)
+        picked = self.membership.pick_partners(now, FAR_PARTNERS)
         found = [(member.address, name) for name, member in picked.items()]
         if self.beats_made % SEED_EVERY_BEATS == 1 or not found:
             found += self._list_lost_seeds(now)
@@ -145,46 +165,50 @@
         known.add(self._settings.advertised_address)
         return [(seed, seed) for seed in self._settings.seeds if seed not in known]
 
-    def _exchange(self, address, name, now):
+    def _exchange(self, address, name):
         progress = self._progress.get(name, Progress())
-        member = self.membership.get(name)
-        near = member is None or member.zone == self._settings.zone
-        with_beats = near or now - self._far_beats_at >= FAR_BEATS_EVERY_S
-        if with_beats and not near:
-            self._far_beats_at = now
+        near = progress.zone == self._settings.zone
         sent = (self.words.sequence, self.beats.sequence)
         with self._metrics.measure_control():
-            request = self._build_request(name, progress, with_beats)
+            request = self._build_request(name, progress, near)
         asked_at = time.monotonic()
         reply = self._peers.request(address, request, REQUEST_TIMEOUT_S)
         if progress.incarnation in (0, reply.incarnation):
             self._progress[name] = Progress(
                 reply.incarnation,
+                reply.zone,
                 sent[0],
-                sent[1] if with_beats else progress.sent_beats,
+                sent[1] if near else 0,
                 reply.word_sequence,
-                reply.beat_sequence if with_beats else progress.seen_beats,
+                reply.beat_sequence,
             )
         else:
             # The peer restarted: it has none of what the old one was told.
-            self._progress[name] = Progress(reply.incarnation)
+            self._progress[name] = Progress(reply.incarnation, reply.zone)
         with self._metrics.measure_control():
             self._merge(reply.words, reply.beats, name, time.monotonic())
         self._take_revision(reply, asked_at)
 
-    def _build_request(self, name, progress, with_beats):
+    def _build_request(self, name, progress, near):
         beats = ()
-        if with_beats:
+        if near:
             beats = self.beats.changes_since(progress.sent_beats, name)
         return GossipRequest(
             self._settings.instance,
+            self._settings.zone,
             progress.seen_words,
-            progress.seen_beats if with_beats else NO_BEATS,
+            progress.seen_beats,
             self._configurer.tracker.number,
-            self.words.changes_since(progress.sent_words, name),
+            self._select_words(progress.sent_words, name, near),
             beats,
         )
 
+    def _select_words(self, sequence, name, near):
+        words = self.words.changes_since(sequence, name)
+        if near or self.words.count(VERSIONS) <= MANY_UPSTREAMS:
+            return words
+        return tuple(word for word in words if word[0][0] != LOAD)
+
     def _take_revision(self, reply, asked_at):
         if reply.revision == 0:
             return
@@ -202,13 +226,18 @@
             if key == (MEMBER, own):
                 continue
             if self.words.merge(key, value, source):
-                if key[0] == MEMBER:
-                    self.membership.note_member(key[1], value)
-                self._notify(key, value)
+                self._take_word(key, value, now)
         for key, beat in beats:
             if key != (own,) and self.membership.note_beat(key[0], beat, now):
                 self.beats.merge(key, beat, source)
 
+    def _take_word(self, key, value, now):
+        if key[0] == MEMBER:
+            self.membership.note_member(key[1], value)
+        elif key[0] == ZONE and key[1] != self._settings.zone:
+            self.membership.note_view(key[1], value, now)
+        self._notify(key, value)
+
     def _notify(self, key, value):
         for listener in self._listeners.get(key[0], ()):
             listener(key, value)
--- a/src/merlinnotch/_daemon/link.py
+++ b/src/merlinnotch/_daemon/link.py
@@ -1,6 +1,7 @@
 """Links to peers: requests and replies over one websocket."""
 
 import itertools
+import time
 
 import eventlet
 import websockets
@@ -12,6 +13,8 @@
 
 OPEN_TIMEOUT_S = 0.5
 MAX_MESSAGE_BYTES = 4 << 20
+IDLE_CLOSE_S = 30.0
+"""Longer than partners stay silent, so that only strangers' links close."""
 
 
 class PeerUnreachable(MerlinnotchError):
@@ -38,9 +41,11 @@
         self._correlations = itertools.count(1)
         self._replies = {}
         self._opening = eventlet.semaphore.Semaphore()
+        self._used_at = float("-inf")
 
     def request(self, message, timeout_s):
         """Return the peer's reply; raises :class:`PeerUnreachable`."""
+        self._used_at = time.monotonic()
         socket = self._open()
         correlation = next(self._correlations)
         reply = self._replies[correlation] = Event()
@@ -60,6 +65,10 @@
         self._drop(socket)
         raise PeerUnreachable(self.address, sent=True)
 
+    def is_idle(self, now):
+        """Whether nothing was asked for long, so that the link may close."""
+        return not self._replies and now - self._used_at > IDLE_CLOSE_S
+
     def close(self):
         """Close the connection, if one is open."""
         if self._socket is not None:
--- a/src/merlinnotch/_daemon/loads.py
+++ b/src/merlinnotch/_daemon/loads.py
@@ -13,6 +13,10 @@
 LOAD_PATH = "/load"
 TIMEOUT_S = 0.5
 LEAVING_STATUS = 410
+MIN_INTERVAL_S = 0.5
+REPORTS_PER_S = 40
+"""Reports in a zone; bounds what its instances pass on to each other."""
+
 REPEAT_MS = 5000
 
 
@@ -23,7 +27,10 @@
     asked once an interval however many instances there are.
     """
 
-    interval_s = 0.5
+    @property
+    def interval_s(self):
+        """The more upstreams, the more seldom each is asked, in seconds."""
+        return max(MIN_INTERVAL_S, self._in_zone / REPORTS_PER_S)
 
     def __init__(self, settings, table, gossiper, metrics, on_change):
         super().__init__()
@@ -34,6 +41,7 @@
         self._on_change = on_change
         self._http = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
         self._asking = set()
+        self._in_zone = 0
         gossiper.listen(LOAD, self._take_load)
         gossiper.listen(VERSIONS, self._take_versions)
         gossiper.listen(LEAVING, self._take_leaving)
@@ -42,7 +50,9 @@
         now = time.monotonic()
         zone = self._settings.zone
         members = self._gossiper.membership.list_live(now, zone)
-        for upstream in list(self._table):
+        upstreams = list(self._table)
+        self._in_zone = sum(1 for u in upstreams if u.listed.zone == zone)
+        for upstream in upstreams:
             listed = upstream.listed
             leaving = upstream.is_leaving(now)
             self._metrics.leaving.labels(listed.id).set(int(leaving))
--- a/src/merlinnotch/_daemon/peers.py
+++ b/src/merlinnotch/_daemon/peers.py
@@ -12,8 +12,6 @@
 
 logger = logging.getLogger("merlinnotch")
 
-IDLE_CLOSE_S = 60.0
-
 
 class Peers:
     """Owns all peer sockets of an instance.
@@ -65,10 +63,12 @@
             self._links[address] = link
         return link.request(message, timeout_s)
 
-    def keep_links(self, addresses):
-        """Close the links to all other addresses."""
-        for address in self._links.keys() - set(addresses):
-            self._links.pop(address).close()
+    def close_idle(self, now):
+        """Close the links that nothing has used for long; *now* is monotonic."""
+        for address, link in list(self._links.items()):
+            if link.is_idle(now):
+                del self._links[address]
+                link.close()
 
     def _check_key(self, connection, request):
         given = request.headers.get("Authorization", "")
--- a/src/merlinnotch/_peers/__init__.py
+++ b/src/merlinnotch/_peers/__init__.py
@@ -28,6 +28,7 @@
 from .rendezvous import rank, rank_first
 from .report import REPORT_EVERY_S, MemberReport, ZoneReport
 from .tally import InstanceTally, Tally
+from .zone import ZoneView
 
 __all__ = [
     "MESSAGE_TYPES",
@@ -57,6 +58,7 @@
     "RecordRequest",
     "Tally",
     "ZoneReport",
+    "ZoneView",
     "decode_message",
     "encode_message",
     "rank",
--- a/src/merlinnotch/_peers/gossip.py
+++ b/src/merlinnotch/_peers/gossip.py
@@ -1,5 +1,6 @@
 """State spread between instances, newest word wins."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 
@@ -25,6 +26,7 @@
 
     def __init__(self):
         self._entries = {}
+        self._counts = Counter()
         self.sequence = 0
 
     def __len__(self):
@@ -37,13 +39,19 @@
             return False
         self.sequence += 1
         # Re-inserted last, so that iteration runs in order of change.
-        self._entries.pop(key, None)
+        if self._entries.pop(key, None) is None:
+            self._counts[key[0]] += 1
         self._entries[key] = GossipEntry(key, value, self.sequence, source)
         return True
 
     def drop(self, key):
         """Forget *key*, on this instance only."""
-        self._entries.pop(key, None)
+        if self._entries.pop(key, None) is not None:
+            self._counts[key[0]] -= 1
+
+    def count(self, family):
+        """Return how many keys start with *family*."""
+        return self._counts[family]
 
     def get(self, key):
         """Return the value of *key*, or None."""
--- a/src/merlinnotch/_peers/membership.py
+++ b/src/merlinnotch/_peers/membership.py
@@ -1,12 +1,10 @@
 """Judging which instances are alive, and whom to talk to."""
 
-import random
+from .rendezvous import rank, rank_first
 
-from .rendezvous import rank_first
-
-NEAR_SUSPECT_S = 6.0
-FAR_SUSPECT_S = 16.0
-"""Heartbeats from other zones come in less often than those of our own."""
+SUSPECT_S = 6.0
+FAR_SUSPECT_S = 24.0
+"""How long a zone's view of itself counts in other zones."""
 
 FORGET_AFTER_S = 120.0
 PROBATION_SHARE = 2 / 3
@@ -14,21 +12,22 @@
 
 
 class Membership:
-    """Follows heartbeats on the local clock.
+    """Follows heartbeats of our zone, and other zones' views of themselves.
 
-    An instance is live while its heartbeat moved within the suspicion time. A
-    paused instance that comes back with old state thus brings no one back to
-    life: only new heartbeats count, and the first one of an instance counts
-    for a shorter while.
+    An instance of our zone is live while its heartbeat moved within the
+    suspicion time. A paused instance that comes back with old state thus
+    brings no one back to life: only new heartbeats count, and the first one
+    of an instance counts for a shorter while. Instances of other zones are
+    live while their zone's view, itself recent, has them.
     """
 
-    def __init__(self, instance, zone, seed=0):
+    def __init__(self, instance, zone):
         self._instance = instance
         self._zone = zone
         self._members = {}
         self._beats = {}
         self._seen_at = {}
-        self._random = random.Random(f"{instance}{seed}")
+        self._views = {}
 
     def note_member(self, instance, member):
         """Take a newer word about an instance."""
@@ -43,12 +42,15 @@
             return False
         self._beats[instance] = beat
         first = known is None and instance != self._instance
-        used_up = self._suspect_after(instance) * PROBATION_SHARE if first else 0.0
-        self._seen_at[instance] = now - used_up
+        self._seen_at[instance] = now - (SUSPECT_S * PROBATION_SHARE if first else 0.0)
         return True
 
+    def note_view(self, zone, view, now):
+        """Take a newer view of another zone."""
+        self._views[zone] = (view, now)
+
     def forget_dead(self, now):
-        """Drop and return the names of instances silent for long.
+        """Drop and return the names of instances of our zone silent for long.
 
         Their last beats are kept, so that nobody's old word revives them.
         """
@@ -68,8 +70,13 @@
 
     def is_live(self, instance, now):
         """Return whether the instance was heard of lately."""
-        seen = self._seen_at.get(instance, float("-inf"))
-        return now - seen <= self._suspect_after(instance)
+        member = self._members.get(instance)
+        if member is None or member.zone == self._zone:
+            return now - self._seen_at.get(instance, float("-inf")) <= SUSPECT_S
+        view, seen_at = self._views.get(member.zone, (None, 0.0))
+        if view is None or now - seen_at > FAR_SUSPECT_S:
+            return False
+        return instance in view.live
 
     def list_live(self, now, zone=None):
         """Return live members by name, of one zone if given."""
@@ -84,16 +91,21 @@
         live = self.list_live(now)
         return {name: m for name, m in live.items() if not m.leaving}
 
-    def pick_gossip_peers(self, now, near, far):
-        """Return up to *near* live peers in our zone and *far* in others, by name."""
+    def pick_partners(self, now, far):
+        """Return whom to exchange with, by name.
+
+        Partners stay the same while membership does, so that each exchange
+        carries only what is new since the last one. In our zone that is the
+        next instance by name, which makes a ring, and one by hash, which makes
+        the ring small. Only the first *far* instances of a zone have partners
+        in other zones, each a zone of its own.
+        """
         live = self.list_live(now)
-        live.pop(self._instance, None)
         here = [name for name, m in live.items() if m.zone == self._zone]
-        there = [name for name in live if name not in here]
-        names = [
-            *self._random.sample(here, min(near, len(here))),
-            *self._random.sample(there, min(far, len(there))),
-        ]
+        names = self._pick_near(here)
+        speakers = rank(f"speakers-{self._zone}", here, far)
+        if self._instance in speakers:
+            names += self._pick_far(live, far, speakers.index(self._instance))
         return {name: live[name] for name in names}
 
     def pick_copy_holder(self, now):
@@ -109,7 +121,20 @@
         name = rank_first(self._instance, choice)
         return (name, choice[name]) if name else None
 
-    def _suspect_after(self, instance):
-        member = self._members.get(instance)
-        near = member is not None and member.zone == self._zone
-        return NEAR_SUSPECT_S if near else FAR_SUSPECT_S
+    def _pick_near(self, here):
+        others = [name for name in here if name != self._instance]
+        if not others:
+            return []
+        following = [name for name in others if name > self._instance]
+        ring = following[0] if following else others[0]
+        return list(dict.fromkeys((ring, rank_first(self._instance, others))))
+
+    def _pick_far(self, live, far, place):
+        """Return the partner in the zone that is ours among the speakers'."""
+        zones = sorted({m.zone for m in live.values() if m.zone != self._zone})
+        picked = []
+        for number, zone in enumerate(rank(f"zones-{self._zone}", zones, far)):
+            if number % far == place:
+                there = [name for name, m in live.items() if m.zone == zone]
+                picked.append(rank_first(f"speakers-{zone}", there))
+        return picked
--- a/src/merlinnotch/_peers/messages.py
+++ b/src/merlinnotch/_peers/messages.py
@@ -12,6 +12,7 @@
 from .member import Member
 from .quarantine import Quarantine
 from .tally import InstanceTally, Tally
+from .zone import ZoneView
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,11 +20,11 @@
     """What changed since the last exchange; asks for the same.
 
     *seen_words* and *seen_beats* are the latest sequences of the receiver
-    that the sender has, *seen_beats* -1 where it wants no beats this time;
-    *revision* is the number in force at the sender.
+    that the sender has, *revision* the number in force at the sender.
     """
 
     instance: str
+    zone: str
     seen_words: int
     seen_beats: int
     revision: int
@@ -40,6 +41,7 @@
     newest; *body* has its encoded bytes when the asker is behind.
     """
 
+    zone: str
     incarnation: int
     word_sequence: int
     beat_sequence: int
@@ -165,6 +167,7 @@
     ListedUpstream,
     Beat,
     LoadedVersions,
+    ZoneView,
 )
 _CODES = {kind: code for code, kind in enumerate(MESSAGE_TYPES + _VALUE_TYPES)}
 _KINDS = {code: kind for kind, code in _CODES.items()}
--- a/tests/scenarios/ledger.feature
+++ b/tests/scenarios/ledger.feature
@@ -78,6 +78,13 @@
     When the cut heals
     Then every booking ends up billed as often as it ran
 
+  Scenario: Two zones that don't hear of each other answer the same question
+    Given zone-a is cut off from its peers but not from the store
+    When question "q-1" is asked through entries 0 and 2
+    Then all 2 answers are whole
+    And two runs of question "q-1" have ended
+    And exactly 1 request is billed for good
+
   Scenario: A retry that is refused while the first attempt runs
     Given a booking "b-7" that takes long is sent through entry 0
     When all plain services say that they are leaving
--- a/tests/scenarios/test_ledger.py
+++ b/tests/scenarios/test_ledger.py
@@ -72,3 +72,24 @@
     world.set_services(leaving=True)
     for name in world.stack.services:
         wait_for(lambda n=name: world.knows_leaving(2, n), f"{name} leaving")
+
+
+@when(parsers.parse('question "{key}" is asked through entries 0 and 2'))
+def _ask_both(world, key):
+    for entry in (0, 2):
+        world.later(world.chat, entry, "swift", headers={"Idempotency-Key": key})
+    world.answers += world.gather()
+
+
+@then(parsers.parse('two runs of question "{key}" have ended'))
+def _two_runs(world, key):
+    runs = [run for run in world.engine_runs() if run["request_id"] == key]
+    assert [run["finished"] for run in runs] == [True, True]
+
+
+@then("exactly 1 request is billed for good")
+def _billed_for_good(world):
+    posted = 'merlinnotch_bills_total{step="posted"}'
+    for entry in (0, 2):
+        wait_for(lambda e=entry: world.metric(e, posted) == 1, f"bill of {entry}")
+    assert world.read_bills() == 1
