Instances of a zone that never met find each other; slow owners stay owners

Cause: at 8 entries with two a zone, every node knew 6 of 8 for good. Partners were drawn from live instances only, and two that had not exchanged yet were not live to each other. So instances disagreed on who writes a bucket: 3,033 conflicts in 12 s at 300 claims a second, and answers late or missing. Ruled out: zone views (a simulation in memory showed them whole), seeds. Change: each round tries one instance of the zone that is known but not live. A bucket's writer that is reached is asked until the time is up, in place of a second writer because the first is slow; it gives up before its asker does.

--- a/benchmarks/plan.py
+++ b/benchmarks/plan.py
@@ -1,5 +1,6 @@
 """What callers do, and what they got."""
 
+import uuid
 from dataclasses import dataclass, field
 
 
@@ -9,6 +10,7 @@
 
     *teams* and *kinds* map names to weights; *streamed* and *in_session* are
     shares of requests. With *closed* that many callers ask in a loop instead.
+    *run* sets the request ids apart from those of other runs.
     """
 
     entries: list
@@ -27,6 +29,7 @@
     direct: str = ""
     max_tokens: int = 0
     patience_s: float = 60.0
+    run: str = field(default_factory=lambda: uuid.uuid4().hex)
 
 
 @dataclass
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -132,7 +132,7 @@
             self.leaving,
         )
         self.words.merge((MEMBER, name), member)
-        self.membership.note_member(name, member)
+        self.membership.note_member(name, member, now)
         tracker = self._configurer.tracker
         stale_ds = int(10 * (now - tracker.proved_at)) if tracker.number else -1
         beat = Beat(self._incarnation, self.beats_made, tracker.number, stale_ds)
@@ -153,7 +153,7 @@
         self.publish(ZONE, (zone,), self._view)
 
     def _pick_peers(self, now):
-        picked = self.membership.pick_partners(now, FAR_PARTNERS)
+        picked = self.membership.pick_partners(now, FAR_PARTNERS, self.beats_made)
         found = [(member.address, name) for name, member in picked.items()]
         if self.beats_made % SEED_EVERY_BEATS == 1 or not found:
             found += self._list_lost_seeds(now)
@@ -233,7 +233,7 @@
 
     def _take_word(self, key, value, now):
         if key[0] == MEMBER:
-            self.membership.note_member(key[1], value)
+            self.membership.note_member(key[1], value, now)
         elif key[0] == ZONE and key[1] != self._settings.zone:
             self.membership.note_view(key[1], value, now)
         self._notify(key, value)
--- a/src/merlinnotch/_daemon/ledger.py
+++ b/src/merlinnotch/_daemon/ledger.py
@@ -9,6 +9,10 @@
 from .writer import BucketWriter
 
 PEER_TIMEOUT_S = 1.0
+SUBMIT_TIMEOUT_S = 0.6
+"""Less than a peer's patience, so that a slow store is no dead owner."""
+
+MIN_ASK_S = 0.05
 BEGIN_TIMEOUT_S = 0.15
 OWNERS_TRIED = 2
 AVOID_S = 5.0
@@ -41,25 +45,37 @@
         return self.record_all(bucket_of(record.key), (record,), timeout_s)[0]
 
     def record_all(self, bucket, records, timeout_s):
-        """Return the verdicts of records of one bucket, None where unknown."""
+        """Return the verdicts of records of one bucket, None where unknown.
+
+        Whoever is reached is asked until the time is up: a second writer,
+        only because the first is slow, would make both slower.
+        """
         deadline = time.monotonic() + timeout_s
         for name, member in self._rank_owners(bucket):
             if name == self._instance:
                 break
-            left = min(deadline - time.monotonic(), PEER_TIMEOUT_S)
-            if left <= 0:
-                return (None,) * len(records)
             try:
-                request = RecordRequest(bucket, tuple(records))
-                reply = self._peers.request(member.address, request, left)
+                return self._ask(member, bucket, records, deadline)
             except PeerUnreachable:
                 self._avoid_until[name] = time.monotonic() + AVOID_S
-                continue
-            if all(verdict is not None for verdict in reply.verdicts):
-                return reply.verdicts
         left = max(0.0, deadline - time.monotonic())
         return tuple(self._get_writer(bucket).submit(records, left))
 
+    def _ask(self, member, bucket, records, deadline):
+        """Ask a peer until all records have verdicts or the time is up.
+
+        Asking again is harmless: a record that is logged already gets the
+        verdict that it got.
+        """
+        request = RecordRequest(bucket, tuple(records))
+        while True:
+            left = deadline - time.monotonic()
+            timeout_s = min(max(left, MIN_ASK_S), PEER_TIMEOUT_S)
+            reply = self._peers.request(member.address, request, timeout_s)
+            settled = all(verdict is not None for verdict in reply.verdicts)
+            if settled or time.monotonic() >= deadline:
+                return reply.verdicts
+
     def begin(self, key, digest, replace=False):
         """Return the :class:`BeginReply` for an idempotent request.
 
@@ -102,7 +118,7 @@
 
     def _answer_records(self, request):
         writer = self._get_writer(request.bucket)
-        verdicts = writer.submit(request.records, PEER_TIMEOUT_S)
+        verdicts = writer.submit(request.records, SUBMIT_TIMEOUT_S)
         return RecordReply(tuple(verdicts))
 
     def _answer_begin(self, request):
--- a/src/merlinnotch/_peers/membership.py
+++ b/src/merlinnotch/_peers/membership.py
@@ -29,11 +29,12 @@
         self._seen_at = {}
         self._views = {}
 
-    def note_member(self, instance, member):
-        """Take a newer word about an instance."""
+    def note_member(self, instance, member, now):
+        """Take a newer word about an instance, which may not be live."""
         known = self._members.get(instance)
         if known is None or known.order < member.order:
             self._members[instance] = member
+            self._seen_at.setdefault(instance, now - SUSPECT_S)
 
     def note_beat(self, instance, beat, now):
         """Take a heartbeat; return whether it was a newer one."""
@@ -54,7 +55,11 @@
 
         Their last beats are kept, so that nobody's old word revives them.
         """
-        dead = [n for n, at in self._seen_at.items() if now - at > FORGET_AFTER_S]
+        dead = [
+            name
+            for name, seen_at in self._seen_at.items()
+            if self._is_near(name) and now - seen_at > FORGET_AFTER_S
+        ]
         for name in dead:
             del self._seen_at[name]
             self._members.pop(name, None)
@@ -70,9 +75,9 @@
 
     def is_live(self, instance, now):
         """Return whether the instance was heard of lately."""
-        member = self._members.get(instance)
-        if member is None or member.zone == self._zone:
-            return now - self._seen_at.get(instance, float("-inf")) <= SUSPECT_S
+        if self._is_near(instance):
+            return now - self._seen_at.get(instance, float("-inf")) < SUSPECT_S
+        member = self._members[instance]
         view, seen_at = self._views.get(member.zone, (None, 0.0))
         if view is None or now - seen_at > FAR_SUSPECT_S:
             return False
@@ -91,22 +96,23 @@
         live = self.list_live(now)
         return {name: m for name, m in live.items() if not m.leaving}
 
-    def pick_partners(self, now, far):
+    def pick_partners(self, now, far, turn=0):
         """Return whom to exchange with, by name.
 
         Partners stay the same while membership does, so that each exchange
         carries only what is new since the last one. In our zone that is the
         next instance by name, which makes a ring, and one by hash, which makes
         the ring small. Only the first *far* instances of a zone have partners
-        in other zones, each a zone of its own.
+        in other zones, each a zone of its own. In each *turn* another one of
+        those of our zone that are known but not live is tried as well.
         """
         live = self.list_live(now)
         here = [name for name, m in live.items() if m.zone == self._zone]
-        names = self._pick_near(here)
+        names = self._pick_near(here) + self._pick_unheard(here, turn)
         speakers = rank(f"speakers-{self._zone}", here, far)
         if self._instance in speakers:
             names += self._pick_far(live, far, speakers.index(self._instance))
-        return {name: live[name] for name in names}
+        return {name: self._members[name] for name in names}
 
     def pick_copy_holder(self, now):
         """Return the name and member of the peer that keeps our copies, or None.
@@ -129,6 +135,18 @@
         ring = following[0] if following else others[0]
         return list(dict.fromkeys((ring, rank_first(self._instance, others))))
 
+    def _pick_unheard(self, here, turn):
+        unheard = [
+            name
+            for name, member in sorted(self._members.items())
+            if member.zone == self._zone and name not in here
+        ]
+        return [unheard[turn % len(unheard)]] if unheard else []
+
+    def _is_near(self, instance):
+        member = self._members.get(instance)
+        return member is None or member.zone == self._zone
+
     def _pick_far(self, live, far, place):
         """Return the partner in the zone that is ours among the speakers'."""
         zones = sorted({m.zone for m in live.values() if m.zone != self._zone})
