--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -105,6 +105,10 @@
 def _cut_store(world):
     hosts = [e.host for e in world.stack.entries if e.zone == "zone-a"]
     http.put(world.stack.kv, "/standin/cut", hosts)
+    # A watch that was under way would still tell them.
+    failures = "merlinnotch_store_failures_total"
+    for entry in (0, 1):
+        wait_for(lambda e=entry: world.metric(e, failures) > 0, f"entry {entry} cut")
 
 
 @given("the store's state is saved")
