Settle lost replies of the history; take back records that nobody waits for

And during an outage each try to log a bill left a record behind in the writer of its bucket, so its memory grew with the outage. Change: every write of an apply is repeated until there is a definite reply. Records whose askers gave up are taken back unless they are under way. Ruled out: a lower timeout, which would only move the moment.

--- a/src/merlinnotch/_config/revisions.py
+++ b/src/merlinnotch/_config/revisions.py
@@ -54,17 +54,24 @@
         return revision
 
     def _swap(self, revision, index):
+        if not self._write(REVISION_KEY, revision, index):
+            self._settle(revision)
+
+    def _write(self, key, revision, index):
+        """Swap until there is a definite reply; return whether it succeeded.
+
+        A write without a reply may have taken effect, or may still do so:
+        only the same compare-and-swap again tells which.
+        """
         for _ in range(SETTLE_TRIES):
             try:
-                self._store.swap(REVISION_KEY, revision.encode(), index)
-                return
+                self._store.swap(key, revision.encode(), index)
             except StoreConflict:
-                self._settle(revision)
-                return
+                return False
             except StoreUnavailable as error:
-                # The write may have taken effect, or may still do so: only
-                # the same compare-and-swap again tells which.
                 last_error = error
+            else:
+                return True
         raise last_error
 
     def _settle(self, revision):
@@ -79,10 +86,7 @@
 
     def _keep_in_history(self, revision):
         key = f"{HISTORY_PREFIX}{revision.number:0{HISTORY_DIGITS}d}"
-        try:
-            self._store.swap(key, revision.encode(), 0)
-        except StoreConflict:
-            return
+        self._write(key, revision, 0)
 
     def _read_current(self):
         listing = self._store.read(REVISION_KEY)
--- a/src/merlinnotch/_daemon/attempts.py
+++ b/src/merlinnotch/_daemon/attempts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+import uuid
 
 from .._errors import ErrorKind, MerlinnotchError, Outcome, RequestRefused
 from .._ledger import Claim, ClaimStatus, Release
@@ -25,7 +26,7 @@
         self._state = state
         self._call = call
         self._claimed = False
-        self._attempt_id = call.request_id + "/" + str(time.monotonic_ns())
+        self._attempt_id = uuid.uuid4().hex
         self._sent_before = False
         self._rounds_left = ROUNDS - 1
         self._failed = set()
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -23,7 +23,8 @@
 from .task import Task
 
 FAR_PARTNERS = 2
-SEED_EVERY_BEATS = 5
+SEED_EVERY_ROUNDS = 5
+BEAT_EVERY_ROUNDS = 2
 VIEW_EVERY_S = 8.0
 REQUEST_TIMEOUT_S = 1.0
 MANY_UPSTREAMS = 64
@@ -69,7 +70,7 @@
         self._progress = {}
         self._listeners = {}
         self._view = ZoneView(0, ())
-        self.beats_made = 0
+        self.rounds = 0
         self.leaving = False
         self.words = GossipState()
         self.beats = GossipState()
@@ -123,7 +124,7 @@
         )
 
     def _beat(self, now):
-        self.beats_made += 1
+        self.rounds += 1
         name = self._settings.instance
         member = Member(
             self._incarnation,
@@ -133,12 +134,14 @@
         )
         self.words.merge((MEMBER, name), member)
         self.membership.note_member(name, member, now)
+        self._metrics.members.set(len(self.membership.list_live(now)))
+        if self.rounds % BEAT_EVERY_ROUNDS:
+            return
         tracker = self._configurer.tracker
         stale_ds = int(10 * (now - tracker.proved_at)) if tracker.number else -1
-        beat = Beat(self._incarnation, self.beats_made, tracker.number, stale_ds)
+        beat = Beat(self._incarnation, self.rounds, tracker.number, stale_ds)
         self.beats.merge((name,), beat)
         self.membership.note_beat(name, beat, now)
-        self._metrics.members.set(len(self.membership.list_live(now)))
 
     def _tell_zone(self, now):
         """Tell other zones who is live in ours, if that is for us to tell."""
@@ -153,9 +156,9 @@
         self.publish(ZONE, (zone,), self._view)
 
     def _pick_peers(self, now):
-        picked = self.membership.pick_partners(now, FAR_PARTNERS, self.beats_made)
+        picked = self.membership.pick_partners(now, FAR_PARTNERS, self.rounds)
         found = [(member.address, name) for name, member in picked.items()]
-        if self.beats_made % SEED_EVERY_BEATS == 1 or not found:
+        if self.rounds % SEED_EVERY_ROUNDS == 1 or not found:
             found += self._list_lost_seeds(now)
         return found
 
--- a/src/merlinnotch/_daemon/loads.py
+++ b/src/merlinnotch/_daemon/loads.py
@@ -14,7 +14,7 @@
 TIMEOUT_S = 0.5
 LEAVING_STATUS = 410
 MIN_INTERVAL_S = 0.5
-REPORTS_PER_S = 40
+REPORTS_PER_S = 20
 """Reports in a zone; bounds what its instances pass on to each other."""
 
 REPEAT_MS = 5000
--- a/src/merlinnotch/_daemon/tallies.py
+++ b/src/merlinnotch/_daemon/tallies.py
@@ -3,7 +3,7 @@
 from .._peers import InstanceTally, Tally
 from .gossiper import TALLY
 
-PUBLISH_AFTER_BEATS = 3
+PUBLISH_AFTER_ROUNDS = 3
 
 
 class Tallies:
@@ -30,7 +30,7 @@
 
     def publish(self):
         """Spread the counts that changed, once predecessors could be heard."""
-        if self._gossiper.beats_made < PUBLISH_AFTER_BEATS:
+        if self._gossiper.rounds < PUBLISH_AFTER_ROUNDS:
             return
         changed, self._changed = self._changed, set()
         for key in changed:
--- a/src/merlinnotch/_daemon/writer.py
+++ b/src/merlinnotch/_daemon/writer.py
@@ -1,5 +1,6 @@
 """Writing the log of one bucket."""
 
+import functools
 import time
 
 import eventlet
@@ -33,7 +34,7 @@
     def submit(self, records, timeout_s):
         """Return the verdict of each record, None where it is not known in time.
 
-        A record without a verdict may still be logged later.
+        A record without a verdict may still be logged if it was under way.
         """
         verdicts: list[Verdict | None] = [None] * len(records)
         done = Event()
@@ -46,13 +47,17 @@
             if missing[0] == 0 and not done.ready():
                 done.send(True)
 
-        for position, record in enumerate(records):
-            self._log.submit(
-                PendingRecord(record, lambda verdict, p=position: settle(p, verdict))
-            )
+        pendings = [
+            PendingRecord(record, functools.partial(settle, position))
+            for position, record in enumerate(records)
+        ]
+        for pending in pendings:
+            self._log.submit(pending)
         self._wake()
         with eventlet.Timeout(timeout_s, False):
             done.wait()
+        if missing[0]:
+            self._log.withdraw(pendings)
         return verdicts
 
     def _wake(self):
--- a/src/merlinnotch/_ledger/log.py
+++ b/src/merlinnotch/_ledger/log.py
@@ -121,6 +121,16 @@
         else:
             self._waiting.append(pending)
 
+    def withdraw(self, pendings):
+        """Take back those of *pendings* that are in no batch yet.
+
+        They will not be logged by this writer, unless they are submitted
+        again; so what nobody waits for any more takes no memory.
+        """
+        gone = {id(pending) for pending in pendings}
+        self._waiting = [p for p in self._waiting if id(p) not in gone]
+        self._queries = [p for p in self._queries if id(p) not in gone]
+
     def take_queries(self):
         """Return the waiting queries, to settle after the log's end was read.
 
--- a/tests/config/test_revisions.py
+++ b/tests/config/test_revisions.py
@@ -72,6 +72,14 @@
     assert len(log.read_history()) == 1
 
 
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_lost_replies_of_the_history_are_settled_too(store, log, lost):
+    log.apply({}, 0, "ann", 1.0)
+    store.lose = lost
+    assert log.apply({}, 1, "ann", 1.0).number == 2
+    assert [revision.number for revision in log.read_history()] == [1, 2]
+
+
 def test_own_write_overtaken_by_a_later_revision_still_counts(store, log):
     store.lose = 1
     swap = store.swap
--- a/tests/ledger/test_log.py
+++ b/tests/ledger/test_log.py
@@ -193,3 +193,25 @@
     bucket.state.expire(1e9)
     assert bucket.state.entries == {}
     assert bucket.state.totals["team", "swift@v1"].requests == 1
+
+
+def test_withdrawn_records_are_not_logged(store, open_log):
+    bucket = open_log()
+    pending = PendingRecord(make_claim(), lambda verdict: None)
+    bucket.submit(pending)
+    bucket.withdraw([pending])
+    assert bucket.waiting == 0
+    assert bucket.build_write() is None
+
+
+def test_record_under_way_can_not_be_withdrawn(store, open_log):
+    bucket = open_log()
+    verdicts = []
+    pending = PendingRecord(make_claim(), verdicts.append)
+    bucket.submit(pending)
+    write = bucket.build_write()
+    bucket.withdraw([pending])
+    assert bucket.build_write() == write
+    store.swap(write.key, write.value, write.modify_index)
+    bucket.commit()
+    assert verdicts[0].status is ClaimStatus.GRANTED
