--- a/src/merlinnotch/_daemon/chat.py
+++ b/src/merlinnotch/_daemon/chat.py
@@ -153,6 +153,7 @@
     def _take_success(self, upstream, version, duration_s):
         kind = self._call.kind.name
         self._attempts.note_success(upstream)
+        self._state.table.note_duration(duration_s)
         self._state.tallies.count(version.id, kind, Tally(answers=1))
         self._state.book.note_answer(version.id, kind, duration_s, self._builder.tokens)
 
--- a/src/merlinnotch/_daemon/parsing.py
+++ b/src/merlinnotch/_daemon/parsing.py
@@ -88,7 +88,7 @@
             body=body,
             stream=bool(checked.stream),
             include_usage=bool(options and options.include_usage),
-            affinity_key=session.id if session else prompt[:PREFIX_CHARS],
+            affinity_key=session.id if session else _find_prefix(body),
             prompt=prompt[:MAX_PROMPT_CHARS],
         )
 
@@ -153,6 +153,16 @@
         return _make_kind(name, version.model), _pin(session, team, version)
 
 
+def _find_prefix(body):
+    """Return what the request's prompt has in common with others, or "".
+
+    Only a system message does so by design; any other text would send its
+    request to an arbitrary upstream for nothing.
+    """
+    first = body["messages"][0]
+    return str(first.get("content"))[:PREFIX_CHARS] if first["role"] == "system" else ""
+
+
 def _check_chat_body(data):
     try:
         body = json.loads(data)
--- a/src/merlinnotch/_limits/queue.py
+++ b/src/merlinnotch/_limits/queue.py
@@ -18,11 +18,15 @@
     priority: int
     deadline: float
     payload: object = None
-    finish_tag: float = field(default=0.0)
+    start_tag: float = field(default=0.0)
 
 
 class FairQueue:
-    """Weighted fair queueing by virtual finish time, with a bound.
+    """Weighted fair queueing by virtual start time, with a bound.
+
+    By start time, a team that asks seldom goes next whatever its weight; by
+    finish time it would wait for the heavy ones to have their turn, and where
+    requests have deadlines it would starve.
 
     When the queue is full, whoever holds most for its weight gives way: the
     newcomer, or the newest waiter of the team that is furthest over.
@@ -31,7 +35,7 @@
     def __init__(self, limit):
         self.limit = limit
         self._waiters = []
-        self._last_tags = {}
+        self._finish_tags = {}
         self._virtual_time = 0.0
 
     def __len__(self):
@@ -45,18 +49,18 @@
             if evicted is waiter:
                 return waiter
             self._waiters.remove(evicted)
-        start = max(self._virtual_time, self._last_tags.get(waiter.team, 0.0))
-        waiter.finish_tag = start + 1 / _weigh(waiter)
-        self._last_tags[waiter.team] = waiter.finish_tag
+        last = self._finish_tags.get(waiter.team, 0.0)
+        waiter.start_tag = max(self._virtual_time, last)
+        self._finish_tags[waiter.team] = waiter.start_tag + 1 / _weigh(waiter)
         self._waiters.append(waiter)
         return evicted
 
     def pop_first(self, accept):
         """Remove and return the first waiter, in fair order, that *accept* takes."""
-        for waiter in sorted(self._waiters, key=lambda w: w.finish_tag):
+        for waiter in sorted(self._waiters, key=_rank):
             if accept(waiter):
                 self._waiters.remove(waiter)
-                self._virtual_time = max(self._virtual_time, waiter.finish_tag)
+                self._virtual_time = max(self._virtual_time, waiter.start_tag)
                 return waiter
         return None
 
@@ -84,5 +88,9 @@
         return [w for w in self._waiters if w.team == worst][-1]
 
 
+def _rank(waiter):
+    return (waiter.start_tag, -waiter.priority)
+
+
 def _weigh(waiter):
     return waiter.weight * PRIORITY_STEP ** (waiter.priority - PRIORITY_BASE)
--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -1,12 +1,18 @@
 """Choosing an upstream."""
 
 import hashlib
+import random
 
 from .upstream import Upstream
 
-OTHER_ZONE_LOAD = 0.5
+OTHER_ZONE_LOAD = 0.15
 """Load by which an upstream of another zone must be lighter to be chosen."""
 
+CHANCE_LOAD = 0.1
+FIRST_DURATION_S = 0.5
+MIN_DURATION_S = 0.1
+SMOOTHING = 0.05
+
 AFFINITY_LOAD = 0.35
 """Load that prefix-cache affinity may cost."""
 
@@ -14,10 +20,12 @@
 class UpstreamTable:
     """All upstreams known to one instance, and the choice among them."""
 
-    def __init__(self, zone, affinity=True):
+    def __init__(self, zone, affinity=True, generator=random):
         self._zone = zone
         self._affinity = affinity
+        self._generator = generator
         self._upstreams = {}
+        self._duration_s = FIRST_DURATION_S
 
     def __iter__(self):
         return iter(self._upstreams.values())
@@ -68,6 +76,10 @@
         if upstream is not None:
             upstream.versions = frozenset(versions)
 
+    def note_duration(self, duration_s):
+        """Learn how long a request takes, and so how soon a report is old."""
+        self._duration_s += SMOOTHING * (duration_s - self._duration_s)
+
     def find(self, pool, version, now, exclude=()):
         """Return the upstreams that may get new work, busy or not."""
         return [
@@ -91,17 +103,29 @@
         free = [u for u in candidates if u.in_flight < u.limit.value]
         if not free:
             return None
-        best = min(free, key=self._rate)
+        rates = {u.listed.id: self._rate(u, now) for u in free}
+        best = min(free, key=lambda u: rates[u.listed.id])
         if not (affinity_key and self._affinity):
             return best
         favourite = max(free, key=lambda u: _rank(affinity_key, u.listed.id))
-        if self._rate(favourite) <= self._rate(best) + AFFINITY_LOAD:
+        if rates[favourite.listed.id] <= rates[best.listed.id] + AFFINITY_LOAD:
             return favourite
         return best
 
-    def _rate(self, upstream):
+    def _rate(self, upstream, now):
+        """Return how loaded an upstream seems.
+
+        A report counts less the older it is, by the time that a request
+        takes: after that, what it saw has ended. What is left is our own part,
+        and chance, so that instances with the same old report don't all go
+        the same way.
+        """
         away = OTHER_ZONE_LOAD if upstream.listed.zone != self._zone else 0.0
-        return upstream.load + away
+        age_s = now - upstream.reported_at
+        weight = 2 ** -(age_s / max(MIN_DURATION_S, self._duration_s))
+        own = upstream.in_flight / upstream.limit.value
+        chance = CHANCE_LOAD * self._generator.random()
+        return weight * upstream.load + (1 - weight) * (own + chance) + away
 
 
 def _rank(key, upstream_id):
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -45,6 +45,14 @@
     assert drain(queue)[1] == "quiet"
 
 
+def test_light_team_does_not_wait_for_a_heavy_one_to_have_its_turn(queue):
+    queue.limit = 100
+    for _ in range(16):
+        queue.push(make("heavy", 8.0))
+    queue.push(make("light", 1.0))
+    assert drain(queue).index("light") <= 1
+
+
 def test_higher_priority_goes_first(queue):
     queue.push(make("a", priority=1))
     queue.push(make("b", priority=9))
