Work that was never done does not count against its team

Cause: waiters that expired or gave way had moved their team's virtual time on, so under overload light teams, whose steps are largest, fell ever further behind. Change: a waiter that leaves unserved takes its step back.

--- a/src/merlinnotch/_limits/queue.py
+++ b/src/merlinnotch/_limits/queue.py
@@ -48,7 +48,7 @@
             evicted = self._pick_victim(waiter)
             if evicted is waiter:
                 return waiter
-            self._waiters.remove(evicted)
+            self.remove(evicted)
         last = self._finish_tags.get(waiter.team, 0.0)
         waiter.start_tag = max(self._virtual_time, last)
         self._finish_tags[waiter.team] = waiter.start_tag + 1 / _weigh(waiter)
@@ -65,16 +65,19 @@
         return None
 
     def remove(self, waiter):
-        """Take *waiter* out, if it still waits; return whether it did."""
+        """Take *waiter* out unserved, if it still waits; return whether it did."""
         if waiter not in self._waiters:
             return False
         self._waiters.remove(waiter)
+        # What was not done must not count against its team.
+        self._finish_tags[waiter.team] -= 1 / _weigh(waiter)
         return True
 
     def pop_expired(self, now):
         """Remove and return the waiters whose deadline has passed."""
-        expired = [w for w in self._waiters if w.deadline <= now]
-        self._waiters = [w for w in self._waiters if w.deadline > now]
+        expired = [waiter for waiter in self._waiters if waiter.deadline <= now]
+        for waiter in expired:
+            self.remove(waiter)
         return expired
 
     def _pick_victim(self, newcomer):
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -85,6 +85,16 @@
     assert len(queue) == 1
 
 
+def test_work_that_was_never_done_does_not_count_against_a_team(queue):
+    for _ in range(6):
+        queue.push(make("unlucky", deadline=1.0))
+    queue.pop_expired(2.0)
+    queue.push(make("other"))
+    queue.push(make("other"))
+    queue.push(make("unlucky"))
+    assert drain(queue).index("unlucky") <= 1
+
+
 def test_removing_twice_says_so(queue):
     waiter = make("a")
     queue.push(waiter)
