--- a/src/merlinnotch/_config/schema.py
+++ b/src/merlinnotch/_config/schema.py
@@ -62,8 +62,8 @@
     retry_ratio: Fraction = 0.1
     queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 256
     guard_drop: Fraction = 0.2
-    guard_error_rate: Fraction = 0.5
-    guard_false_alarm: Fraction = 1e-4
+    guard_error_rate: Annotated[float, Field(gt=0.02, lt=1)] = 0.5
+    guard_false_alarm: Annotated[float, Field(gt=0, lt=1)] = 1e-4
 
 
 class Document(_Table):
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_daemon/gossiper.py
@@ -25,6 +25,9 @@
 FAR_PARTNERS = 2
 SEED_EVERY_ROUNDS = 5
 BEAT_EVERY_ROUNDS = 2
+FIRST_ROUNDS = 6
+"""Rounds after the start in which every one has a heartbeat, to be known soon."""
+
 VIEW_EVERY_S = 8.0
 REQUEST_TIMEOUT_S = 1.0
 MANY_UPSTREAMS = 64
@@ -135,7 +138,7 @@
         self.words.merge((MEMBER, name), member)
         self.membership.note_member(name, member, now)
         self._metrics.members.set(len(self.membership.list_live(now)))
-        if self.rounds % BEAT_EVERY_ROUNDS:
+        if self.rounds % BEAT_EVERY_ROUNDS and self.rounds > FIRST_ROUNDS:
             return
         tracker = self._configurer.tracker
         stale_ds = int(10 * (now - tracker.proved_at)) if tracker.number else -1
--- a/src/merlinnotch/_daemon/guardian.py
+++ b/src/merlinnotch/_daemon/guardian.py
@@ -122,10 +122,14 @@
 
     def _take_catalogue(self, catalogue):
         tuning = catalogue.tuning
+        numbers = (
+            tuning.guard_drop,
+            tuning.guard_error_rate,
+            tuning.guard_false_alarm,
+        )
         if self._guard is None:
-            self._guard = VersionGuard(
-                tuning.guard_drop, tuning.guard_error_rate, tuning.guard_false_alarm
-            )
+            self._guard = VersionGuard(*numbers)
+        self._guard.tune(*numbers)
         for version_id, quarantine in self._found.items():
             cleared = not self._is_in_force(version_id, quarantine)
             if cleared and self._reset_for.get(version_id) != quarantine:
--- a/src/merlinnotch/_daemon/state.py
+++ b/src/merlinnotch/_daemon/state.py
@@ -1,6 +1,7 @@
 """What the request handlers share on one instance."""
 
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 
 from .._limits import RetryBudget
 from .._routing import QualityBook, UpstreamTable
@@ -19,6 +20,8 @@
 from .ratings import Raters
 from .tallies import Tallies
 
+ALONE_AFTER_S = 8.0
+
 
 @dataclass
 class InstanceState:
@@ -43,9 +46,17 @@
     raters: Raters
     guardian: Guardian
     leaving: bool = False
+    started_at: float = field(default_factory=time.monotonic)
 
     @property
     def is_ready(self):
-        """Whether callers should be sent here."""
+        """Whether callers should be sent here.
+
+        Not before a peer can hold copies of bills, unless there seems to be
+        none.
+        """
+        now = time.monotonic()
         known = self.configurer.tracker.catalogue is not None and len(self.table) > 0
-        return known and not self.leaving
+        has_peer = self.membership.pick_copy_holder(now) is not None
+        alone = now - self.started_at > ALONE_AFTER_S
+        return known and (has_peer or alone) and not self.leaving
--- a/src/merlinnotch/_routing/guard.py
+++ b/src/merlinnotch/_routing/guard.py
@@ -43,10 +43,14 @@
     """
 
     def __init__(self, drop=0.2, error_rate=0.5, false_alarm=1e-4):
+        self._series = {}
+        self.tune(drop, error_rate, false_alarm)
+
+    def tune(self, drop, error_rate, false_alarm):
+        """Take an operator's numbers; what was learned of versions stays."""
         self._drop = drop
         self._error_rate = error_rate
         self._threshold = math.log(1 / false_alarm)
-        self._series = {}
 
     def observe(self, tallies, siblings=None):
         """Take fleet-wide tallies and return the list of new :class:`Alarm`.
--- a/standins/stack.py
+++ b/standins/stack.py
@@ -311,9 +311,9 @@
 
     def _wait_for_ports(self):
         for address in (self.kv, self.ratings, *self.engines.values()):
-            wait_for(lambda a=address: _answers(a), f"{address} up")
+            wait_for(lambda a=address: answers(a), f"{address} up")
         for address in self.services.values():
-            wait_for(lambda a=address: _answers(a), f"{address} up")
+            wait_for(lambda a=address: answers(a), f"{address} up")
 
     def _terminate(self, prefix):
         """Ask processes to end all at once; return their exit codes."""
@@ -365,7 +365,8 @@
         time.sleep(POLL_S)
 
 
-def _answers(address):
+def answers(address):
+    """Return whether the stand-in at *address* answers."""
     try:
         http.get(address, "/standin/state")
     except (urllib3.exceptions.HTTPError, ValueError):
--- a/tests/routing/test_guard.py
+++ b/tests/routing/test_guard.py
@@ -118,3 +118,12 @@
     feed.rate_until_alarm(300, lambda n: 0.85)
     feed.guard.reset("swift@v3")
     assert feed.rate_until_alarm(100, lambda n: 0.5) is None
+
+
+def test_tuning_takes_effect_on_what_is_already_watched(make_feed):
+    feed = make_feed(10)
+    feed.rate_until_alarm(300, lambda n: 0.85)
+    feed.guard.tune(0.2, 0.5, 1e-300)
+    assert feed.rate_until_alarm(60, lambda n: 0.65) is None
+    feed.guard.tune(0.2, 0.5, 1e-4)
+    assert feed.rate_until_alarm(60, lambda n: 0.65) is not None
--- a/tests/scenarios/test_answers.py
+++ b/tests/scenarios/test_answers.py
@@ -5,7 +5,7 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from standins.stack import wait_for
+from standins.stack import answers, wait_for
 
 scenarios("answers.feature")
 
@@ -164,8 +164,9 @@
 
 @when("the plain services are back")
 def _back(world):
-    for name in world.stack.services:
+    for name, address in world.stack.services.items():
         world.stack.processes[name].start()
+        wait_for(lambda a=address: answers(a), f"{name} up")
 
 
 @then("the booking was refused as not run")
