Each holder of orders gets a fencing number of its own

Cause, found in reading: the number was read before the lease was acquired and written with it, with a read-back on top. A holder that came and went in between shared its number with the next one, so that an engine which honours the number could not tell them apart. Ruled out: more read-backs; they see only what is stored, not what was. Change: the number has a key of its own and is raised by compare-and-swap while the lease is held; a lease that was opened in vain is closed. The time of the last renewal is asked of the lease, not kept twice.

--- a/src/merlinnotch/_daemon/orderer.py
+++ b/src/merlinnotch/_daemon/orderer.py
@@ -9,6 +9,7 @@
 from .._errors import StoreConflict
 from .._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
 from .._peers import rank_first
+from .._store import ABSENT
 from .._store.keys import ORDERS_PREFIX
 from .task import Task
 
@@ -39,20 +40,25 @@
         self._membership = membership
         self._configurer = configurer
         self._metrics = metrics
-        self._key = f"{ORDERS_PREFIX}{settings.zone}"
+        self._lock_key = f"{ORDERS_PREFIX}{settings.zone}/lock"
+        self._fence_key = f"{ORDERS_PREFIX}{settings.zone}/fence"
         self._lease = OrderLease()
         self._lease_id = None
-        self._renewed_at = float("-inf")
         self._ordered_at = {}
         self._http = urllib3.PoolManager(maxsize=1, retries=False)
 
+    @property
+    def fence(self):
+        """The fencing number of the last lease that we held, 0 for none."""
+        return self._lease.fence
+
     def run_once(self):
         now = time.monotonic()
         orders = self._plan(now)
         if not orders or not self._is_first(now):
-            self._let_go()
+            self.let_go()
             return
-        self._hold()
+        self.hold()
         for order in orders:
             self._give(order)
 
@@ -67,41 +73,52 @@
 
     def _is_first(self, now):
         members = self._membership.list_live(now, self._settings.zone)
-        return rank_first(self._key, members) == self._settings.instance
+        return rank_first(self._lock_key, members) == self._settings.instance
 
-    def _hold(self):
+    def hold(self):
         """Acquire the lease, or renew it."""
         asked_at = time.monotonic()
         if self._lease_id is None:
             self._acquire(asked_at)
-        elif asked_at - self._renewed_at >= RENEW_EVERY_S:
+        elif asked_at - self._lease.renewed_at >= RENEW_EVERY_S:
             try:
                 self._store.renew_lease(self._lease_id)
             except StoreConflict:
                 self._forget()
                 return
             self._lease.renew(asked_at)
-            self._renewed_at = asked_at
 
     def _acquire(self, asked_at):
-        item = self._store.read(self._key).get(self._key)
+        item = self._store.read(self._lock_key).get(self._lock_key)
         if item is not None and item.session:
             return
-        fence = LeaseHolder.decode(item.value).fence + 1 if item else 1
-        holder = LeaseHolder(self._settings.instance, fence)
-        lease_id = self._store.open_lease(LEASE_TTL_S, self._settings.instance)
-        if not self._store.acquire(self._key, holder.encode(), lease_id):
+        name = self._settings.instance
+        lease_id = self._store.open_lease(LEASE_TTL_S, name)
+        if not self._store.acquire(self._lock_key, name.encode(), lease_id):
+            self._store.close_lease(lease_id)
             return
-        # Two that read the same fence can't both hold the lease, but the
-        # second may follow the first with it; only what is stored counts.
-        stored = self._store.read(self._key).get(self._key)
-        if stored.session != lease_id or stored.value != holder.encode():
+        try:
+            fence = self._raise_fence()
+        except StoreConflict:
+            self._store.close_lease(lease_id)
             return
         self._lease_id = lease_id
         self._lease.acquire(fence, asked_at)
-        self._renewed_at = asked_at
         logger.info("holds orders", extra={"fence": fence})
 
+    def _raise_fence(self):
+        """Return the next fencing number, which nobody else ever gets.
+
+        The lease alone can't tell: its last holder may have come and gone
+        since the number was read. The swap can.
+        """
+        item = self._store.read(self._fence_key).get(self._fence_key)
+        fence = LeaseHolder.decode(item.value).fence + 1 if item else 1
+        holder = LeaseHolder(self._settings.instance, fence)
+        index = item.modify_index if item else ABSENT
+        self._store.swap(self._fence_key, holder.encode(), index)
+        return fence
+
     def _give(self, order):
         now = time.monotonic()
         if not self._lease.may_order(now):
@@ -125,7 +142,8 @@
         if not accepted:
             self._forget()
 
-    def _let_go(self):
+    def let_go(self):
+        """Give the lease back, if we hold it."""
         if self._lease_id is None:
             return
         lease_id = self._lease_id
--- a/src/merlinnotch/_orders/lease.py
+++ b/src/merlinnotch/_orders/lease.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True)
 class LeaseHolder:
-    """What the lease's key holds; *fence* grows with each new holder."""
+    """Who got a fencing number; *fence* grows with each new holder."""
 
     instance: str
     fence: int
@@ -45,6 +45,11 @@
         """The fencing number that our orders carry."""
         return self._fence
 
+    @property
+    def renewed_at(self):
+        """When the last renewal was asked for."""
+        return self._renewed_at
+
     def acquire(self, fence, asked_at):
         """We became the holder by a call made at *asked_at*."""
         self._fence = fence
--- /dev/null
+++ b/tests/daemon/test_orderer.py
@@ -0,0 +1,68 @@
+"""Holders of orders and their fencing numbers."""
+
+import types
+
+import pytest
+
+from merlinnotch._config import RevisionTracker
+from merlinnotch._daemon.metrics import Metrics
+from merlinnotch._daemon.orderer import Orderer
+from merlinnotch._peers import Membership
+from merlinnotch._routing import UpstreamTable
+from merlinnotch._store import MemoryStore
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def make_orderer(store):
+    def make_orderer(name):
+        return Orderer(
+            types.SimpleNamespace(instance=name, zone="zone-a"),
+            store,
+            UpstreamTable("zone-a"),
+            Membership(name, "zone-a"),
+            types.SimpleNamespace(tracker=RevisionTracker()),
+            Metrics(),
+        )
+
+    return make_orderer
+
+
+def test_each_holder_has_a_higher_fence(make_orderer):
+    fences = []
+    for name in ("one", "two", "one"):
+        orderer = make_orderer(name)
+        orderer.hold()
+        fences.append(orderer.fence)
+        orderer.let_go()
+    assert fences == [1, 2, 3]
+
+
+def test_holder_that_comes_and_goes_meanwhile_keeps_its_fence_to_itself(
+    store, make_orderer
+):
+    slow, quick = make_orderer("slow"), make_orderer("quick")
+    open_lease = store.open_lease
+
+    def let_quick_come_and_go(ttl_s, name):
+        store.open_lease = open_lease
+        quick.hold()
+        quick.let_go()
+        return open_lease(ttl_s, name)
+
+    store.open_lease = let_quick_come_and_go
+    slow.hold()
+    assert quick.fence == 1
+    assert slow.fence == 2
+
+
+def test_loser_keeps_no_lease_open(store, make_orderer):
+    first, second = make_orderer("first"), make_orderer("second")
+    first.hold()
+    second.hold()
+    assert second.fence == 0
+    assert len(store.leases) == 1
