Wait for what the reports say, not only for their number

An entry's first heartbeat can come before it has read a revision, and is reported as 0 until the next one; asked right after a start, status shows 0 for all four and 1 a second later. Ruled out: a revision going back (the counters of older offers are scenarios of their own). Change: the step waits until all four report revision 1; its assertions stay.

--- a/tests/scenarios/test_callers.py
+++ b/tests/scenarios/test_callers.py
@@ -24,6 +24,10 @@
     return json.loads(output)
 
 
+def reported_revisions(world):
+    return [row["revision"] for row in run_json(world, "status")["instances"]]
+
+
 @then("the official client gets a whole and a streamed answer")
 def _answers(world):
     create = open_client(world).chat.completions.create
@@ -67,7 +71,8 @@
     headers = {"Idempotency-Key": "look-me-up"}
     assert world.chat(0, headers=headers).status == 200
     world.wait_for_bills(1)
-    wait_for(lambda: len(run_json(world, "status")["instances"]) == 4, "reports")
+    # An instance that started last reports its revision a heartbeat later.
+    wait_for(lambda: reported_revisions(world) == [1] * 4, "reports")
     for command in ("status", "history", "bills"):
         world.notes[command] = run_json(world, command)
 
