--- /dev/null
+++ b/src/merlinnotch/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The instance that the platform runs."""
--- /dev/null
+++ b/src/merlinnotch/_entry/conductor.py
@@ -0,0 +1,136 @@
+"""Leads roll-outs: writes stages and states, sums up what versions answer."""
+
+import logging
+
+import eventlet
+
+from .._errors import StoreConflict, StoreError
+from .._fleet import RolloutState, Stage
+from .._fleet.records import encode_stage, stage_key
+from .._rollout import judge_version
+from ..platform import encode_status, status_key
+from .peers import RolloutNews
+
+logger = logging.getLogger("merlinnotch")
+
+TICK_S = 0.25
+TELL_S = 0.5
+"""How often tallies go to peers while they change: a verdict is known to most
+of a fleet within a second or two of the answer that decides it."""
+TURN_S = 0.7
+"""How much longer each next instance waits before it does what is due; the
+first one has done it by then unless it is gone, paused or cut off."""
+
+
+class Conductor:
+    """Every instance runs one; the store's conditions make sure that one wins.
+
+    Nobody is elected: whoever finds a step undone when its turn comes writes it
+    on the condition that nothing changed since it looked. An instance that was
+    paused fails on the condition.
+    """
+
+    def __init__(self, store, view, book, sessions, peers, schedule, name, read_clock):
+        self._store = store
+        self._view = view
+        self._book = book
+        self._sessions = sessions
+        self._peers = peers
+        self._schedule = schedule
+        self._name = name
+        self._read_clock = read_clock
+        self._told_at = 0.0
+        self._orders = {}
+
+    def run(self):
+        """Lead until the process ends."""
+        while True:
+            eventlet.sleep(TICK_S)
+            now = self._read_clock()
+            for service, rollout in self._view.list_active_rollouts():
+                try:
+                    self._lead(service, rollout, now)
+                except StoreConflict:
+                    logger.info("roll-out step taken", extra={"service": service})
+                except StoreError as error:
+                    fields = {"service": service, "reason": str(error)}
+                    logger.warning("roll-out step failed", extra=fields)
+
+    def _lead(self, service, rollout, now):
+        if self._orders.get(service) != rollout.order.index:
+            self._orders[service] = rollout.order.index
+            self._book.forget(service)
+        reason = judge_version(self._book, service, rollout.order.target)
+        if reason is not None:
+            self._convict(service, rollout, reason)
+            return
+        self._tell_peers(service, now)
+        age_s = rollout.measure_age(now) - self._wait_for_turn(service)
+        if age_s >= 0:
+            self._advance(service, rollout, age_s, now)
+
+    def _convict(self, service, rollout, reason):
+        target = rollout.order.target
+        if target not in rollout.bad_versions:
+            # In force here at once, whether or not the store can be reached.
+            rollout.bad_versions.add(target)
+            fields = {"service": service, "target": target, "reason": reason}
+            logger.warning("version convicted", extra=fields)
+        self._write_state(service, rollout, RolloutState.REVERTED)
+
+    def _advance(self, service, rollout, age_s, now):
+        if rollout.order.target in rollout.bad_versions:
+            return
+        targets = [
+            u
+            for u in self._view.list_upstreams(service)
+            if u.version == rollout.order.target
+        ]
+        if not targets:
+            return
+        if rollout.status is None or rollout.status.index < rollout.order.index:
+            self._write_state(service, rollout, RolloutState.ACTIVE)
+        due = self._schedule.find_due(age_s, rollout.order.period_s)
+        stage = rollout.current_stage
+        if due is not None and (stage is None or stage.number < due.number):
+            self._write_stage(service, rollout, due, now)
+        elif self._is_done(stage, age_s, rollout.order.period_s):
+            self._write_state(service, rollout, RolloutState.COMPLETE)
+
+    def _is_done(self, stage, age_s, period_s):
+        moved = stage is not None and stage.share >= 1.0
+        return moved and self._schedule.is_complete(age_s, period_s)
+
+    def _write_stage(self, service, rollout, due, now):
+        known = rollout.stage
+        age_s = rollout.measure_age(now)
+        stage = Stage(service, rollout.order.index, due.number, due.share, age_s)
+        self._store.swap(
+            stage_key(service), encode_stage(stage), known.index if known else 0
+        )
+        fields = {"service": service, "stage": due.number, "share": due.share}
+        logger.info("stage written", extra=fields | {"age_s": round(age_s, 2)})
+
+    def _write_state(self, service, rollout, state):
+        known = rollout.status
+        target = rollout.order.target
+        self._store.swap(
+            status_key(service),
+            encode_status(service, target, state),
+            known.index if known else 0,
+        )
+        fields = {"service": service, "target": target, "state": str(state)}
+        logger.info("roll-out state written", extra=fields)
+
+    def _tell_peers(self, service, now):
+        if self._book.changed and now - self._told_at >= TELL_S:
+            self._told_at = now
+            self._book.changed = False
+            kept = self._sessions.list_kept(service, self._schedule.first_share, now)
+            news = RolloutNews(service, self._book.list_rows(service), kept)
+            self._peers.send_rollout(news)
+
+    def _wait_for_turn(self, service):
+        names = sorted({*self._view.peers, self._name})
+        shift = sum(service.encode()) % len(names)
+        return (names.index(self._name) - shift) % len(names) * TURN_S
--- /dev/null
+++ b/src/merlinnotch/_entry/follower.py
@@ -0,0 +1,103 @@
+"""Keeps the mirror and the view up to date from the store, or from peers."""
+
+import logging
+
+import eventlet
+
+from .._errors import HistoryLost, StoreUnavailable
+from ..platform import EVERYTHING
+
+logger = logging.getLogger("merlinnotch")
+
+RETRY_S = 0.25
+"""Pause between tries to reach the store; fast enough to have news in force in
+time after an outage, slow enough for a store that turns callers away."""
+OUTAGE_S = 1.0
+"""Failures for this long are an outage in which entries may have lapsed; a cut
+watch or dropped history is followed by a reply at once."""
+RETURN_S = 1.0
+"""How long after its return deletions may still be lapses of the outage."""
+
+
+class Follower:
+    """Watches everything in the store; asks peers while it can't be reached."""
+
+    def __init__(self, store, mirror, view, peers, read_clock, watch_s, metrics):
+        self._store = store
+        self._mirror = mirror
+        self._view = view
+        self._peers = peers
+        self._read_clock = read_clock
+        self._watch_s = watch_s
+        self._metrics = metrics
+        self._failing_since = None
+        self._returned_at = None
+        self._complete = False
+
+    def run(self):
+        """Follow the store until the process ends."""
+        while True:
+            self._step()
+            self._view.drop_lapsed(self._read_clock())
+
+    def replace_store(self, store):
+        """Follow another store from the next call on."""
+        self._store = store
+
+    @property
+    def is_connected(self):
+        """Whether the last call to the store was answered."""
+        return self._complete and self._failing_since is None
+
+    def _step(self):
+        try:
+            if self._complete:
+                # After an outage the first reply has to come at once.
+                wait_s = 0.0 if self._failing_since else self._watch_s
+                changes = self._store.read_changes(
+                    EVERYTHING, self._mirror.index, wait_s
+                )
+                self._note_reply()
+                self._apply(self._mirror.apply(changes))
+            else:
+                listing = self._store.read(EVERYTHING, recurse=True)
+                self._note_reply()
+                self._complete = True
+                self._apply(self._mirror.replace(listing))
+        except HistoryLost:
+            logger.info("history lost", extra={"index": self._mirror.index})
+            self._complete = False
+        except StoreUnavailable as error:
+            self._note_failure(error)
+            self._ask_peers()
+            eventlet.sleep(RETRY_S)
+
+    def _apply(self, differences):
+        now = self._read_clock()
+        was_away = self._returned_at is not None and (
+            now - self._returned_at < RETURN_S
+        )
+        self._view.apply(differences, now, was_away)
+
+    def _note_reply(self):
+        if self._failing_since is None:
+            return
+        now = self._read_clock()
+        outage_s = now - self._failing_since
+        self._failing_since = None
+        if outage_s >= OUTAGE_S:
+            self._returned_at = now
+        logger.info("store regained", extra={"outage_s": round(outage_s, 2)})
+
+    def _note_failure(self, error):
+        if self._failing_since is not None:
+            return
+        self._failing_since = self._read_clock()
+        self._metrics.losses.labels("store").inc()
+        fields = {"reason": str(error), "index": self._mirror.index}
+        logger.warning("store lost", extra=fields)
+
+    def _ask_peers(self):
+        part = self._peers.fetch_newer(self._mirror.index)
+        if part is not None:
+            self._view.apply(self._mirror.merge(part), self._read_clock())
--- /dev/null
+++ b/src/merlinnotch/_entry/metrics.py
@@ -0,0 +1,36 @@
+"""Counters and histograms of one instance."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16, 32)
+
+
+class EntryMetrics:
+    """All metrics, in a registry of their own. Times are in seconds."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests by outcome", "outcome")
+        self.refusals = self._counter("refusals", "Refusals by error kind", "kind")
+        self.retries = self._counter(
+            "retries", "Sends that failed, by reason", "reason"
+        )
+        self.store_calls = self._counter("store_calls", "Store calls by kind", "kind")
+        self.peer_calls = self._counter("peer_calls", "Calls to peers by kind", "kind")
+        self.losses = self._counter(
+            "dependency_losses", "Times that a dependency was lost", "name"
+        )
+        self.request_time = Histogram(
+            "merlinnotch_request_seconds",
+            "Time from first byte to the end of the answer",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+        self.version = Gauge(
+            "merlinnotch_configuration_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+
+    def _counter(self, name, text, *labels):
+        return Counter(f"merlinnotch_{name}", text, labels, registry=self.registry)
--- /dev/null
+++ b/src/merlinnotch/_entry/process.py
@@ -0,0 +1,226 @@
+"""Putting an instance for the platform together, and taking it down."""
+
+import logging
+import random
+import time
+
+import eventlet
+from prometheus_client import generate_latest
+
+from .._fleet.mirror import Mirror
+from .._fleet.records import decode_record
+from .._fleet.view import FleetView
+from .._gateway import (
+    AttemptMaker,
+    BudgetTable,
+    Forwarder,
+    Gateway,
+    GatewayParts,
+    UpstreamChooser,
+)
+from .._http import PageServer, UpstreamPool
+from .._placement import (
+    CascadePolicy,
+    CascadeSettings,
+    LoadTable,
+    PaceBook,
+    Placer,
+)
+from .._rollout import SessionBook, TallyBook, VersionChooser, build_schedule
+from ..platform import PlatformStore, decode_item
+from .announcer import Announcer
+from .clock import read_clock
+from .conductor import Conductor
+from .follower import Follower
+from .metrics import EntryMetrics
+from .peers import PeerClient, PeerPages
+
+logger = logging.getLogger("merlinnotch")
+
+RETRY_RATIO_USED = 0.85
+"""Part of the fleet's retry allowance that instances use: their windows and
+that of the whole do not begin at the same time."""
+SWEEP_S = 1.0
+BALANCER_S = 3.0
+"""After this long without readiness the balancer sends no new connections: it
+asks once a second and acts on two answers."""
+LAST_CALL_S = 0.6
+"""Time kept at the end of the grace period to close connections and exit."""
+POLL_S = 0.05
+OK = 200
+NOT_READY = 503
+
+
+class EntryProcess:
+    """One instance with all its tasks, from :class:`EntrySettings`."""
+
+    def __init__(self, settings, generator=random):
+        self.settings = settings
+        self._generator = generator
+        self.metrics = EntryMetrics()
+        self.mirror = Mirror()
+        self.pool = UpstreamPool(read_clock)
+        self.view = FleetView(_decode, self._drop_upstream)
+        self._loads = LoadTable(self._find_engine)
+        self._book = TallyBook(f"{settings.instance.name}/{time.time_ns()}")
+        self._sessions = SessionBook(settings.sessions.keep_s)
+        self._store = self._build_store(settings.store)
+        name = settings.instance.name
+        self._peers = PeerClient(name, self.view, read_clock, self.metrics)
+        self.follower = Follower(
+            self._store,
+            self.mirror,
+            self.view,
+            self._peers,
+            read_clock,
+            settings.store.watch_s,
+            self.metrics,
+        )
+        self._announcer = Announcer(
+            self._store,
+            name,
+            settings.instance.zone,
+            settings.instance.peer_address,
+            generator,
+        )
+        self._conductor = Conductor(
+            self._store,
+            self.view,
+            self._book,
+            self._sessions,
+            self._peers,
+            build_schedule(settings.rollouts.exposure_share),
+            name,
+            read_clock,
+        )
+        self.read_clock = read_clock
+        self.gateway = None
+        self._servers = []
+        self._tasks = []
+
+    def start(self):
+        """Open all listeners and start all tasks."""
+        place = self.settings.instance
+        parts = self._build_parts()
+        self.gateway = Gateway(place.caller_address, Forwarder(parts), parts)
+        pages = PeerPages(self.mirror, self._book, self._sessions, read_clock)
+        self._servers = [
+            PageServer(place.ready_address, self.respond_ready, read_clock),
+            PageServer(place.peer_address, pages.respond, read_clock),
+            PageServer(place.metrics_address, self._respond_metrics, read_clock),
+        ]
+        for task in (
+            self.follower.run,
+            self._announcer.run,
+            self._conductor.run,
+            self._sweep,
+        ):
+            self._tasks.append(eventlet.spawn(_run_forever, task))
+        logger.info("started", extra={"address": place.caller_address})
+
+    def shut_down(self):
+        """Answer what is in progress, then return; ends within the grace period."""
+        started_at = read_clock()
+        until = started_at + self.settings.shutdown.grace_s - LAST_CALL_S
+        self.gateway.leaving = True
+        logger.info("leaving", extra={"in_flight": self.gateway.in_flight})
+        eventlet.spawn_n(self._announcer.stop)
+        eventlet.sleep(BALANCER_S)
+        while self.gateway.in_flight and read_clock() < until:
+            self.gateway.close_idle()
+            eventlet.sleep(POLL_S)
+        self.gateway.close()
+        self.gateway.close_idle()
+        fields = {"cut": self.gateway.in_flight}
+        logger.info("stopped", extra=fields)
+
+    def stop(self):
+        """End all tasks and listeners at once, whatever is in progress."""
+        for task in self._tasks:
+            task.kill()
+        for server in [*self._servers, self.gateway]:
+            server.close()
+        self.gateway.close_idle()
+
+    def reload(self, settings):
+        """Take changed settings; what is tied to listeners needs a restart."""
+        if settings == self.settings:
+            return
+        if settings.store != self.settings.store:
+            self.follower.replace_store(self._build_store(settings.store))
+        self.settings = settings
+        logger.info("settings reloaded")
+
+    def _build_store(self, settings):
+        return PlatformStore(
+            settings.address,
+            read_clock,
+            settings.timeout_s,
+            on_call=lambda kind: self.metrics.store_calls.labels(kind).inc(),
+        )
+
+    def _build_parts(self):
+        settings = self.settings
+        paces = PaceBook()
+        placer = Placer(settings.instance.zone, self._loads, paces)
+        versions = VersionChooser(self._sessions, self._generator)
+        return GatewayParts(
+            view=self.view,
+            pool=self.pool,
+            loads=self._loads,
+            paces=paces,
+            placer=placer,
+            cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
+            chooser=UpstreamChooser(self.view, versions, placer, self._generator),
+            attempts=AttemptMaker(self.pool, self._loads, placer, paces, read_clock),
+            budgets=BudgetTable(
+                settings.retries.ratio * RETRY_RATIO_USED,
+                settings.retries.slack * RETRY_RATIO_USED,
+                lambda: max(1, len(self.view.peers)),
+            ),
+            sessions=self._sessions,
+            tallies=self._book,
+            metrics=self.metrics,
+            read_clock=read_clock,
+        )
+
+    def _find_engine(self, service_name):
+        configuration = self.view.configuration
+        service = configuration.services.get(service_name) if configuration else None
+        return service.engine if service else None
+
+    def _drop_upstream(self, upstream_id):
+        self.pool.drop(upstream_id)
+        self._loads.drop(upstream_id)
+
+    def _sweep(self):
+        while True:
+            eventlet.sleep(SWEEP_S)
+            self.pool.close_old()
+            self.view.drop_lapsed(read_clock())
+
+    def respond_ready(self, request):
+        """Return status, fields and body of the readiness page."""
+        ready = self.view.is_ready and not self.gateway.leaving
+        return (OK if ready else NOT_READY), [], b""
+
+    def _respond_metrics(self, request):
+        configuration = self.view.configuration
+        self.metrics.version.set(configuration.version if configuration else 0)
+        text = generate_latest(self.metrics.registry)
+        return OK, [("content-type", "text/plain; version=0.0.4")], text
+
+
+def _decode(key, value, index):
+    fact = decode_item(key, value, index)
+    return fact if fact is not None else decode_record(key, value, index)
+
+
+def _run_forever(task):
+    """Run a task that never returns; a fault is logged and it starts again."""
+    while True:
+        try:
+            task()
+        except Exception:
+            logger.exception("task failed", extra={"task": task.__qualname__})
+            eventlet.sleep(SWEEP_S)
--- /dev/null
+++ b/src/merlinnotch/_entry/settings.py
@@ -0,0 +1,96 @@
+"""Settings of an instance on the platform, in TOML, checked by msgspec."""
+
+import pathlib
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from .._errors import BadSettings
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Count = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class InstanceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where this instance is and listens."""
+
+    name: str
+    zone: str
+    caller_address: Address
+    ready_address: Address
+    peer_address: Address
+    metrics_address: Address
+
+
+class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's store. *watch_s* bounds how long a watch is silent."""
+
+    address: Address
+    timeout_s: Seconds = 1.0
+    watch_s: Seconds = 2.0
+
+
+class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the whole fleet may send again: *ratio* of its first sends and
+    *slack* more in any window."""
+
+    ratio: Annotated[float, msgspec.Meta(ge=0, le=10)]
+    slack: Count
+
+
+class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """*exposure_share* of a service's requests may reach a bad version."""
+
+    exposure_share: Share
+
+
+class SessionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Requests of a session that come within *keep_s* belong together."""
+
+    keep_s: Seconds
+
+
+class ShutdownSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """*grace_s* after it is asked to stop, the process is killed."""
+
+    grace_s: Seconds
+
+
+class CascadeTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """*value* of 1,000 tokens of answer, in the unit of the models' costs."""
+
+    value: Count = 0.3
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """At most *lines_per_s* are written; the rest is counted."""
+
+    lines_per_s: Count = 200.0
+    requests: bool = True
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole settings file."""
+
+    instance: InstanceSettings
+    store: StoreSettings
+    retries: RetrySettings
+    rollouts: RolloutSettings
+    sessions: SessionSettings
+    shutdown: ShutdownSettings
+    cascade: CascadeTable = CascadeTable()
+    logs: LogSettings = LogSettings()
+
+
+def load_entry_settings(path):
+    """Return the :class:`EntrySettings`; raises :class:`BadSettings`."""
+    try:
+        table = tomllib.loads(pathlib.Path(path).read_text())
+        return msgspec.convert(table, EntrySettings, strict=False)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise BadSettings([f"{path}: {error}"]) from error
+    except msgspec.ValidationError as error:
+        raise BadSettings([f"{path}: {error}"]) from error
--- a/src/merlinnotch/_errors/__init__.py
+++ b/src/merlinnotch/_errors/__init__.py
@@ -3,14 +3,20 @@
 from .answers import ANSWERS, ErrorAnswer, answer_for
 from .exceptions import (
     BadSettings,
+    CallerLeft,
     ConfigurationError,
     ConfigurationInvalid,
+    ConnectFailed,
+    ConnectionBroken,
+    HistoryLost,
+    MalformedMessage,
     MerlinnotchError,
     RequestRefused,
     RevisionConflict,
     StoreConflict,
     StoreError,
     StoreUnavailable,
+    TransportError,
 )
 from .kinds import ErrorKind
 from .outcomes import Outcome
@@ -18,10 +24,15 @@
 __all__ = [
     "ANSWERS",
     "BadSettings",
+    "CallerLeft",
     "ConfigurationError",
     "ConfigurationInvalid",
+    "ConnectFailed",
+    "ConnectionBroken",
     "ErrorAnswer",
     "ErrorKind",
+    "HistoryLost",
+    "MalformedMessage",
     "MerlinnotchError",
     "Outcome",
     "RequestRefused",
@@ -29,5 +40,6 @@
     "StoreConflict",
     "StoreError",
     "StoreUnavailable",
+    "TransportError",
     "answer_for",
 ]
--- a/src/merlinnotch/_errors/exceptions.py
+++ b/src/merlinnotch/_errors/exceptions.py
@@ -62,3 +62,34 @@
         self.detail = detail
         self.outcome = outcome
         self.retry_after_s = retry_after_s
+
+
+class TransportError(MerlinnotchError):
+    """Base of failures of one connection."""
+
+
+class ConnectFailed(TransportError):
+    """No connection came about; nothing was sent."""
+
+
+class ConnectionBroken(TransportError):
+    """An open connection was reset, fell silent or ended too early."""
+
+
+class MalformedMessage(TransportError):
+    """The other side's bytes are not a message that may be passed on.
+
+    *status* is the answer for a caller who sent it.
+    """
+
+    def __init__(self, reason, status=400):
+        super().__init__(reason)
+        self.status = status
+
+
+class CallerLeft(TransportError):
+    """The caller closed its connection before it had its answer."""
+
+
+class HistoryLost(StoreError):
+    """Changes after the given index are no longer kept; read again in full."""
--- /dev/null
+++ b/src/merlinnotch/_fleet/__init__.py
@@ -0,0 +1,33 @@
+"""What an instance knows of the fleet: declarations, upstreams, roll-outs."""
+
+from .configuration import (
+    CallerLimits,
+    Configuration,
+    Engine,
+    Repeat,
+    Route,
+    Service,
+    Split,
+    Team,
+)
+from .facts import Fact, PeerAddress
+from .rollout import RolloutOrder, RolloutState, RolloutStatus, Stage
+from .upstream import Upstream
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "Engine",
+    "Fact",
+    "PeerAddress",
+    "Repeat",
+    "RolloutOrder",
+    "RolloutState",
+    "RolloutStatus",
+    "Route",
+    "Service",
+    "Split",
+    "Stage",
+    "Team",
+    "Upstream",
+]
--- /dev/null
+++ b/src/merlinnotch/_fleet/records.py
@@ -0,0 +1,46 @@
+"""Our own keys in the store, and their values in CBOR."""
+
+import cbor2
+
+from .._errors import ConfigurationInvalid
+from .._store.keys import ROOT
+from .facts import PeerAddress
+from .rollout import Stage
+
+PEER_PREFIX = f"{ROOT}peers/"
+STAGE_PREFIX = f"{ROOT}stages/"
+
+
+def peer_key(name):
+    """Return where instance *name* tells its address."""
+    return PEER_PREFIX + name
+
+
+def stage_key(service):
+    """Return where the stage of a service's roll-out is kept."""
+    return STAGE_PREFIX + service
+
+
+def encode_peer(peer):
+    """Return the value of a :class:`PeerAddress`."""
+    return cbor2.dumps([peer.zone, peer.address])
+
+
+def encode_stage(stage):
+    """Return the value of a :class:`Stage`."""
+    return cbor2.dumps([stage.order_index, stage.number, stage.share, stage.age_s])
+
+
+def decode_record(key, value, index):
+    """Return the fact in one of our own items, None for any other key."""
+    try:
+        if key.startswith(PEER_PREFIX):
+            zone, address = cbor2.loads(value)
+            return PeerAddress(key[len(PEER_PREFIX) :], zone, address)
+        if key.startswith(STAGE_PREFIX):
+            order_index, number, share, age_s = cbor2.loads(value)
+            service = key[len(STAGE_PREFIX) :]
+            return Stage(service, order_index, number, share, age_s, index)
+    except (ValueError, TypeError) as error:
+        raise ConfigurationInvalid([f"{key}: {error}"]) from error
+    return None
--- /dev/null
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -0,0 +1,17 @@
+"""Requests that pass through: admitted, sent on, answered."""
+
+from .attempt import AttemptMaker
+from .budgets import BudgetTable
+from .choice import UpstreamChooser
+from .forwarder import Forwarder
+from .gateway import Gateway
+from .parts import GatewayParts
+
+__all__ = [
+    "AttemptMaker",
+    "BudgetTable",
+    "Forwarder",
+    "Gateway",
+    "GatewayParts",
+    "UpstreamChooser",
+]
--- /dev/null
+++ b/src/merlinnotch/_gateway/admission.py
@@ -0,0 +1,46 @@
+"""Whether a request may be served at all."""
+
+from .._errors import ErrorKind, MalformedMessage, RequestRefused
+from ..platform import REQUEST_DROPPED, decode_call
+from .call import Call
+
+
+def admit_request(request, view):
+    """Return the :class:`Call` of a request; raises :class:`RequestRefused`.
+
+    Whoever knows no configuration can't say what is allowed and refuses for
+    the time being.
+    """
+    configuration = view.configuration
+    if configuration is None:
+        raise RequestRefused(ErrorKind.NO_CONFIGURATION)
+    path = request.target.partition("?")[0]
+    route = configuration.find_route(request.host, path)
+    if route is None:
+        raise RequestRefused(ErrorKind.UNKNOWN_PATH, path)
+    headers = _decode_headers(request)
+    team = None
+    if configuration.needs_keys and not route.public:
+        team = configuration.find_team(headers.key)
+        if team is None:
+            raise RequestRefused(ErrorKind.UNAUTHENTICATED)
+    wait_s = route.timeout_s
+    if headers.deadline_s is not None:
+        wait_s = min(wait_s, headers.deadline_s)
+    return Call(
+        request=request,
+        headers=headers,
+        pairs=request.fields.pass_on(REQUEST_DROPPED),
+        configuration=configuration,
+        route=route,
+        team=team,
+        arrived_at=request.received_at,
+        deadline=request.received_at + wait_s,
+    )
+
+
+def _decode_headers(request):
+    try:
+        return decode_call(request.fields)
+    except MalformedMessage as error:
+        raise RequestRefused(ErrorKind.BAD_REQUEST, str(error)) from error
--- /dev/null
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -0,0 +1,109 @@
+"""One send of a call to one upstream."""
+
+from dataclasses import dataclass
+
+from .._errors import ConnectionBroken, TransportError
+from .._fleet import Upstream
+from ..platform import encode_call, is_not_run, read_answer
+
+CONNECT_S = 0.4
+"""A path that works connects in a few milliseconds."""
+
+
+class NotRun(TransportError):
+    """The upstream says that it did not run the request."""
+
+
+@dataclass
+class Attempt:
+    """An exchange whose answer's head has come.
+
+    *note* is what the answer's fields say; *waited_s* is how long the head took.
+    """
+
+    upstream: Upstream
+    connection: object
+    head: object
+    note: object
+    started_at: float
+    waited_s: float
+    missing_tokens: float = 0.0
+
+
+class AttemptMaker:
+    """Sends a call to an upstream and reads the head of the answer."""
+
+    def __init__(self, pool, loads, placer, paces, read_clock):
+        self._pool = pool
+        self._loads = loads
+        self._placer = placer
+        self._paces = paces
+        self._read_clock = read_clock
+
+    def make(self, call, upstream, work, until):
+        """Return an :class:`Attempt`.
+
+        Raises :class:`ConnectFailed` or :class:`NotRun` where nothing has run
+        and :class:`ConnectionBroken` where it may have.
+        """
+        load = self._loads.get(upstream)
+        missing = self._placer.count_missing(upstream, work) if work.model else 0
+        reading_ms = missing * self._paces.get(work.model) if work.model else 0.0
+        connection = self._pool.take(upstream.id, upstream.address, CONNECT_S)
+        started_at = self._read_clock()
+        load.queued_ms += reading_ms
+        if work.model:
+            load.cache.note(work.model, work.prompt)
+        call.may_have_run = True
+        try:
+            head = self._exchange(call, upstream, connection, until)
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            load.queued_ms -= reading_ms
+        return self._judge_head(
+            call, upstream, connection, head, started_at, missing, work
+        )
+
+    def _exchange(self, call, upstream, connection, until):
+        now = self._read_clock()
+        pairs = encode_call(
+            call.pairs,
+            upstream.id,
+            call.team.name if call.team else None,
+            call.deadline - now,
+            call.model if call.route.models else None,
+            call.last_event,
+        )
+        request = call.request
+        connection.send_request(
+            request.method, request.target, pairs, request.body, until
+        )
+        return connection.read_head(until)
+
+    def _judge_head(self, call, upstream, connection, head, started_at, missing, work):
+        now = self._read_clock()
+        load = self._loads.get(upstream)
+        note = read_answer(head.fields)
+        if note.running is not None:
+            load.note_report(note.running, note.waiting, now)
+        if is_not_run(head.status, head.fields):
+            self._give_back_short(upstream, connection, now)
+            raise NotRun(f"status {head.status}")
+        if note.attempt_id != call.headers.attempt_id:
+            connection.close()
+            raise ConnectionBroken("the answer belongs to another request")
+        waited_s = now - started_at
+        if work.model and missing:
+            self._paces.note(work.model, missing, waited_s)
+        return Attempt(upstream, connection, head, note, started_at, waited_s, missing)
+
+    def _give_back_short(self, upstream, connection, now):
+        """Read a refusal's body so that the connection can be used again."""
+        try:
+            connection.read_body(now + CONNECT_S, 65536)
+        except ConnectionBroken:
+            connection.close()
+        else:
+            self._pool.give_back(upstream.id, connection)
--- /dev/null
+++ b/src/merlinnotch/_gateway/call.py
@@ -0,0 +1,45 @@
+"""One request of a caller on its way."""
+
+from dataclasses import dataclass, field
+
+from .._fleet import Configuration, Route, Team
+
+
+@dataclass
+class Call:
+    """A request, what is allowed for it and what was done with it so far.
+
+    *headers* are the caller's, decoded; *pairs* the fields to pass on. Times
+    are on the boot clock: *deadline* is when the caller or the route's timeout
+    gives up. *may_have_run* is set once an upstream may have begun to work.
+    *tried* are the ids of upstreams that this request was sent to or that
+    refused it, *sent_to* those that it counts against the route's bound.
+    """
+
+    request: object
+    headers: object
+    pairs: list
+    configuration: Configuration
+    route: Route
+    team: Team | None
+    arrived_at: float
+    deadline: float
+    service: str = ""
+    model: str | None = None
+    tried: set[str] = field(default_factory=set)
+    sent_to: set[str] = field(default_factory=set)
+    sends: int = 0
+    may_have_run: bool = False
+    reasons: list[str] = field(default_factory=list)
+    last_event: int | None = None
+    events_sent: int = 0
+    upstream_id: str | None = None
+
+    def measure_left(self, now):
+        """Return the seconds until the deadline."""
+        return self.deadline - now
+
+    @property
+    def may_run_again(self):
+        """Whether it can be sent once more although it may have run."""
+        return self.route.repeat.may_run_again
--- /dev/null
+++ b/src/merlinnotch/_gateway/choice.py
@@ -0,0 +1,49 @@
+"""Choosing service, version and upstream for the next send of a call."""
+
+import random
+
+from .._errors import ErrorKind, RequestRefused
+from .._placement import Work
+
+
+class UpstreamChooser:
+    """Puts the decisions of splits, roll-outs and placement together."""
+
+    def __init__(self, view, versions, placer, generator=random):
+        self._view = view
+        self._versions = versions
+        self._placer = placer
+        self._generator = generator
+
+    def choose_service(self, call):
+        """Return one service of the call's route, by weight."""
+        splits = call.route.splits
+        if len(splits) == 1:
+            return splits[0].service
+        weights = [split.weight for split in splits]
+        return self._generator.choices(splits, weights)[0].service
+
+    def count_others(self, call, upstream):
+        """Return how many upstreams are left to try beside *upstream*."""
+        listed = self._view.list_upstreams(call.service)
+        tried = call.tried | {upstream.id}
+        return sum(1 for u in listed if u.id not in tried)
+
+    def choose_upstream(self, call, now):
+        """Return the upstream for the next send.
+
+        Raises :class:`RequestRefused` where there is none left.
+        """
+        listed = self._view.list_upstreams(call.service)
+        untried = [u for u in listed if u.id not in call.tried]
+        rollout = self._view.get_rollout(call.service)
+        accepts = self._versions.choose(
+            call.service, rollout, call.headers.session, now
+        )
+        work = Work(call.headers.prompt, call.model)
+        for accept in accepts:
+            candidates = [u for u in untried if accept(u.version)]
+            if candidates:
+                return self._placer.pick(candidates, work, now)
+        detail = f"{len(listed)} listed, {len(call.tried)} tried"
+        raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
--- /dev/null
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -0,0 +1,243 @@
+"""Carrying one call to an answer, over as many sends as it may have."""
+
+import logging
+
+from .._errors import (
+    ConnectFailed,
+    ConnectionBroken,
+    ErrorKind,
+    MalformedMessage,
+    Outcome,
+    RequestRefused,
+)
+from .._placement import Work
+from .._rollout import TallyKey
+from .attempt import NotRun
+from .patience import limit_wait
+from .stream import StreamRelay
+
+logger = logging.getLogger("merlinnotch")
+
+MAX_BUFFERED_BYTES = 16 << 20
+"""Answers that are not streams are read whole before they are passed on, so
+that one that breaks off never looks whole; plain answers hold some 100 KB."""
+OK = 200
+SERVER_ERROR = 500
+MIN_LEFT_S = 0.02
+"""With less time left an upstream can't answer any more."""
+
+
+class Forwarder:
+    """Sends a call, judges what came of it and sends it again where allowed."""
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._read_clock = parts.read_clock
+
+    def forward(self, call, connection):
+        """Deliver the answer on *connection*.
+
+        Raises :class:`RequestRefused` where nothing was delivered and
+        :class:`CallerLeft` when the caller is gone.
+        """
+        parts = self._parts
+        call.service = parts.chooser.choose_service(call)
+        call.last_event = call.headers.last_event
+        call.model = call.headers.model
+        if call.route.models and call.model is None:
+            call.model = parts.cascade.choose_first(call.route)
+        parts.budgets.get(call.service).note_first_attempt()
+        while not self._try_once(call, connection):
+            pass
+
+    def _try_once(self, call, connection):
+        """Make one send; return whether the call is answered."""
+        now = self._read_clock()
+        upstream = self._choose(call, now)
+        work = Work(call.headers.prompt, call.model)
+        load = self._parts.loads.get(upstream)
+        load.in_flight += 1
+        try:
+            return self._run(call, connection, upstream, work)
+        except ConnectFailed as error:
+            load.note_unreachable(self._read_clock())
+            call.tried.add(upstream.id)
+            self._note_retry(call, upstream, "unreachable", error)
+        except NotRun as error:
+            call.tried.add(upstream.id)
+            self._settle_not_run(call, upstream)
+            self._note_retry(call, upstream, "not run", error)
+        except (ConnectionBroken, MalformedMessage) as error:
+            now = self._read_clock()
+            if now < call.deadline:
+                load.note_failure(now)
+                self._tally(call, upstream, bad=True)
+            call.tried.add(upstream.id)
+            self._note_retry(call, upstream, "broken", error)
+            if not call.may_run_again:
+                raise self._refuse_unknown(call, now) from error
+        finally:
+            load.in_flight -= 1
+        return False
+
+    def _choose(self, call, now):
+        """Return the upstream of the next send; raises :class:`RequestRefused`."""
+        if call.measure_left(now) < MIN_LEFT_S:
+            raise self._refuse_unknown(call, now)
+        if len(call.sent_to) >= call.route.max_upstreams:
+            raise self._refuse_exhausted(call, now)
+        try:
+            upstream = self._parts.chooser.choose_upstream(call, now)
+        except RequestRefused as error:
+            if call.may_have_run:
+                raise self._refuse_exhausted(call, now) from error
+            raise
+        if call.sends and not self._parts.budgets.get(call.service).take():
+            call.reasons.append("no retry budget")
+            raise self._refuse_exhausted(call, now)
+        return upstream
+
+    def _run(self, call, connection, upstream, work):
+        parts = self._parts
+        call.sends += 1
+        ran_before = call.may_have_run
+        call.sent_to.add(upstream.id)
+        until = limit_wait(
+            call,
+            self._estimate_wait(upstream, work),
+            parts.chooser.count_others(call, upstream),
+            self._read_clock(),
+        )
+        try:
+            attempt = parts.attempts.make(call, upstream, work, until)
+        except (ConnectFailed, NotRun):
+            call.may_have_run = ran_before
+            raise
+        parts.sessions.note(
+            call.service, call.headers.session, upstream.version, self._read_clock()
+        )
+        call.upstream_id = upstream.id
+        if call.route.repeat.streams and attempt.head.status == OK:
+            return self._relay(call, connection, attempt)
+        return self._deliver(call, connection, attempt)
+
+    def _estimate_wait(self, upstream, work):
+        """Return the seconds until the first event, as far as can be told."""
+        if work.model is None:
+            return 0.0
+        parts = self._parts
+        missing = parts.placer.count_missing(upstream, work)
+        queued_ms = parts.loads.get(upstream).queued_ms
+        return (missing * parts.paces.get(work.model) + queued_ms) / 1000.0
+
+    def _deliver(self, call, connection, attempt):
+        """Read the whole answer, then pass it on or try again."""
+        try:
+            body = attempt.connection.read_body(call.deadline, MAX_BUFFERED_BYTES)
+        except BaseException:
+            attempt.connection.close()
+            raise
+        self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
+        if attempt.note.encoded:
+            raise ConnectionBroken("the body is encoded")
+        failed = attempt.head.status >= SERVER_ERROR
+        self._settle(call, attempt, failed)
+        if failed and self._can_try_again(call):
+            call.tried.add(attempt.upstream.id)
+            self._note_retry(
+                call, attempt.upstream, "failed", f"status {attempt.head.status}"
+            )
+            return False
+        connection.answer(attempt.head.status, self._parts.pass_on(attempt.head), body)
+        return True
+
+    def _relay(self, call, connection, attempt):
+        """Pass a stream on, or ask a larger model instead of it."""
+        larger = self._choose_larger(call, attempt)
+        if larger is not None:
+            attempt.connection.close()
+            self._settle(call, attempt, failed=False)
+            fields = _describe(call, attempt.upstream)
+            fields |= {"confidence": attempt.note.confidence, "next_model": larger}
+            logger.info("larger model asked", extra=fields)
+            call.model = larger
+            call.reasons.append("larger model")
+            return False
+        relay = StreamRelay(call, connection, self._parts.pass_on, self._read_clock)
+        relay.run(attempt)
+        self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
+        self._settle(call, attempt, failed=False)
+        return True
+
+    def _choose_larger(self, call, attempt):
+        if not call.route.models or call.headers.model is not None:
+            return None
+        if len(call.sent_to) >= call.route.max_upstreams:
+            return None
+        service = call.configuration.services.get(call.service)
+        upstreams = self._parts.view.list_upstreams(call.service)
+        now = self._read_clock()
+        pressure = self._parts.loads.measure_pressure(upstreams, now)
+        return self._parts.cascade.choose_next(
+            call.route,
+            service.engine if service else None,
+            call.model,
+            attempt.note.confidence,
+            call.headers,
+            pressure,
+        )
+
+    def _can_try_again(self, call):
+        return (
+            call.may_run_again
+            and len(call.sent_to) < call.route.max_upstreams
+            and call.measure_left(self._read_clock()) > MIN_LEFT_S
+        )
+
+    def _settle(self, call, attempt, failed):
+        """Count an answer for its upstream and its version."""
+        now = self._read_clock()
+        load = self._parts.loads.get(attempt.upstream)
+        load.note_answer(now - attempt.started_at)
+        if failed:
+            load.note_failure(now)
+        else:
+            load.note_success(now)
+        self._tally(call, attempt.upstream, failed)
+
+    def _settle_not_run(self, call, upstream):
+        # Asked before it was sent anywhere, it does not count as sent.
+        call.sent_to.discard(upstream.id)
+
+    def _tally(self, call, upstream, bad):
+        rollout = self._parts.view.get_rollout(call.service)
+        if rollout.order is not None:
+            key = TallyKey(call.service, upstream.version, call.route.name)
+            self._parts.tallies.note(key, bad)
+
+    def _note_retry(self, call, upstream, reason, detail):
+        call.reasons.append(reason)
+        self._parts.metrics.retries.labels(reason).inc()
+        fields = _describe(call, upstream) | {"reason": reason, "detail": str(detail)}
+        logger.info("send failed", extra=fields)
+
+    def _refuse_exhausted(self, call, now):
+        if call.may_have_run:
+            return self._refuse_unknown(call, now)
+        return RequestRefused(ErrorKind.NO_UPSTREAM, ", ".join(call.reasons))
+
+    def _refuse_unknown(self, call, now):
+        late = call.measure_left(now) < MIN_LEFT_S
+        kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.UPSTREAM_FAILED
+        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        return RequestRefused(kind, ", ".join(call.reasons), outcome)
+
+
+def _describe(call, upstream):
+    return {
+        "request": call.headers.attempt_id,
+        "route": call.route.name,
+        "upstream": upstream.id,
+        "model": call.model,
+        "send": call.sends,
+    }
--- /dev/null
+++ b/src/merlinnotch/_gateway/parts.py
@@ -0,0 +1,38 @@
+"""What the gateway is put together from."""
+
+from dataclasses import dataclass
+
+from .._fleet.view import FleetView
+from .._http import UpstreamPool
+from .._placement import CascadePolicy, LoadTable, PaceBook, Placer
+from .._rollout import SessionBook, TallyBook
+from .attempt import AttemptMaker
+from .budgets import BudgetTable
+from .choice import UpstreamChooser
+
+
+@dataclass
+class GatewayParts:
+    """The decisions and the state that one instance forwards with.
+
+    *read_clock* returns seconds on the boot clock, which goes on while the
+    machine is suspended.
+    """
+
+    view: FleetView
+    pool: UpstreamPool
+    loads: LoadTable
+    paces: PaceBook
+    placer: Placer
+    cascade: CascadePolicy
+    chooser: UpstreamChooser
+    attempts: AttemptMaker
+    budgets: BudgetTable
+    sessions: SessionBook
+    tallies: TallyBook
+    metrics: object
+    read_clock: object
+
+    def pass_on(self, head):
+        """Return the fields of an upstream's answer that the caller gets."""
+        return head.fields.pass_on()
--- /dev/null
+++ b/src/merlinnotch/_http/simple.py
@@ -0,0 +1,53 @@
+"""A small server for the process's own pages: readiness, metrics, peers."""
+
+from dataclasses import dataclass
+
+from .._errors import MalformedMessage, TransportError
+from .caller import CallerConnection
+from .listener import Listener
+
+IDLE_S = 20.0
+WRITE_S = 2.0
+
+
+@dataclass(frozen=True)
+class PageLimits:
+    """Bounds on what may be sent to the pages."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1 << 20
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 5.0
+
+
+class PageServer:
+    """Calls *respond* with each request; it returns status, pairs and body."""
+
+    def __init__(self, address, respond, read_clock):
+        self._respond = respond
+        self._read_clock = read_clock
+        self._listener = Listener(address, self._serve)
+        self.address = self._listener.address
+
+    def close(self):
+        """Accept no more connections."""
+        self._listener.close()
+
+    def _serve(self, sock):
+        connection = CallerConnection(sock, self._read_clock, WRITE_S)
+        try:
+            while self._serve_one(connection):
+                pass
+        except MalformedMessage as error:
+            connection.refuse(error.status)
+        except TransportError:
+            # The other side left or fell silent; it waits for nothing.
+            return
+
+    def _serve_one(self, connection):
+        request = connection.read_request(PageLimits(), IDLE_S)
+        if request is None:
+            return False
+        status, pairs, body = self._respond(request)
+        connection.answer(status, pairs, body)
+        return connection.finish()
--- /dev/null
+++ b/src/merlinnotch/_http/sockets.py
@@ -0,0 +1,90 @@
+"""Options of sockets and calls on them that raise this project's errors."""
+
+import contextlib
+import socket
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from .._errors import ConnectFailed, ConnectionBroken
+
+UNACKNOWLEDGED_MS = 4000
+"""How long sent bytes may stay without acknowledgement before the kernel gives
+the connection up: longer than a burst of lost packets is repaired in, shorter
+than the deadlines of streams."""
+
+READ_BYTES = 65536
+BACKLOG = 1024
+
+
+def tune_socket(sock):
+    """Send small writes at once and notice a dead peer."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def open_connection(address, timeout_s):
+    """Connect to *address*, host:port; raises :class:`ConnectFailed`."""
+    host, _, port = address.rpartition(":")
+    try:
+        sock = green_socket.create_connection((host, int(port)), timeout=timeout_s)
+    except (OSError, ValueError) as error:
+        raise ConnectFailed(f"{address}: {error}") from error
+    tune_socket(sock)
+    return sock
+
+
+def listen(address):
+    """Return a listening socket on *address*."""
+    host, _, port = address.rpartition(":")
+    return eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
+
+
+def receive(sock, timeout_s):
+    """Return the next bytes, b"" at the end; raises :class:`ConnectionBroken`."""
+    if timeout_s <= 0:
+        raise ConnectionBroken("silent")
+    sock.settimeout(timeout_s)
+    try:
+        return sock.recv(READ_BYTES)
+    except TimeoutError as error:
+        raise ConnectionBroken("silent") from error
+    except (OSError, EOFError) as error:
+        # EOFError: another green thread closed the socket meanwhile.
+        raise ConnectionBroken(f"read: {error}") from error
+
+
+def send(sock, data, timeout_s):
+    """Send all of *data*; raises :class:`ConnectionBroken`."""
+    sock.settimeout(max(timeout_s, 0.001))
+    try:
+        sock.sendall(data)
+    except (OSError, EOFError) as error:
+        raise ConnectionBroken(f"write: {error}") from error
+
+
+def close_quietly(sock):
+    """Close *sock*; there is nobody left to tell of a failure."""
+    with contextlib.suppress(OSError):
+        sock.close()
+
+
+def hang_up(sock):
+    """End *sock* in both directions; whoever reads from it sees the end."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+def is_quiet(sock):
+    """Return whether an idle connection has neither ended nor been written to.
+
+    Whatever arrives between two exchanges belongs to no request.
+    """
+    # The green socket's own descriptor never blocks, so the look is free.
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/src/merlinnotch/_placement/__init__.py
@@ -0,0 +1,19 @@
+"""Where a request runs and on which model."""
+
+from .cache import PrefixCache
+from .cascade import CascadePolicy, CascadeSettings
+from .load import UpstreamLoad
+from .loads import LoadTable
+from .pace import PaceBook
+from .placer import Placer, Work
+
+__all__ = [
+    "CascadePolicy",
+    "CascadeSettings",
+    "LoadTable",
+    "PaceBook",
+    "Placer",
+    "PrefixCache",
+    "UpstreamLoad",
+    "Work",
+]
--- /dev/null
+++ b/src/merlinnotch/_placement/cascade.py
@@ -0,0 +1,69 @@
+"""Which model answers, and when a larger one is asked after it."""
+
+from dataclasses import dataclass
+
+POOR_CREDIT = 0.05
+"""What an answer is worth that its model was too small for, as a share."""
+PRICE_OF_PRESSURE = 3.0
+"""How much dearer a second run is where all slots are taken: it delays others."""
+FREE_PRESSURE = 0.25
+"""Below this share of taken slots a second run delays nobody."""
+
+HARD_BELOW = ((20.0, 0.9), (30.0, 0.75), (40.0, 0.6), (50.0, 0.35), (60.0, 0.12))
+"""Chance that a request was too hard for the small model, by its confidence."""
+PRIORITY_VALUE = (1.5, 1.0, 0.6)
+"""How a route's priority weighs the value of its answers."""
+
+
+@dataclass(frozen=True)
+class CascadeSettings:
+    """*value* is what 1,000 tokens of answer are worth, in the unit of costs.
+
+    Tokens of the prompt count a tenth of those of the answer.
+    """
+
+    value: float = 0.3
+
+
+class CascadePolicy:
+    """Buys a second run where its expected gain exceeds its cost."""
+
+    def __init__(self, settings=None):
+        self._settings = settings or CascadeSettings()
+
+    def choose_first(self, route):
+        """Return the model for the first run."""
+        return route.models[0]
+
+    def choose_next(self, route, engine, model, confidence, call, pressure):
+        """Return the model for another run, or None to deliver this answer.
+
+        *confidence* is the model's opinion of its answer, None where it gives
+        none; *pressure* is the share of the pool's slots that are taken.
+        """
+        largest = route.models[-1]
+        if model == largest or confidence is None:
+            return None
+        gain = self._measure_value(route, call) * (1 - POOR_CREDIT)
+        gain *= estimate_hard(confidence)
+        cost = _measure_cost(engine, largest, call)
+        dearness = 1 + PRICE_OF_PRESSURE * max(0.0, pressure - FREE_PRESSURE)
+        return largest if gain > cost * dearness else None
+
+    def _measure_value(self, route, call):
+        size = call.tokens_in + 10 * call.tokens_out
+        rank = min(route.priority, len(PRIORITY_VALUE) - 1)
+        return self._settings.value * PRIORITY_VALUE[rank] * size / 1000.0
+
+
+def estimate_hard(confidence):
+    """Return the chance that the request was too hard for its model."""
+    for below, chance in HARD_BELOW:
+        if confidence < below:
+            return chance
+    return 0.0
+
+
+def _measure_cost(engine, model, call):
+    price = engine.model_costs.get(model, 0.0) if engine else 0.0
+    return price * (call.tokens_in / 4 + call.tokens_out) / 1000.0
--- /dev/null
+++ b/src/merlinnotch/_placement/load.py
@@ -0,0 +1,94 @@
+"""How busy an upstream is, from its own words and from our requests."""
+
+import math
+from dataclasses import dataclass, field
+
+from .cache import PrefixCache
+
+REPORT_HALF_LIFE_S = 1.0
+"""A load report counts half after this time; others change the load meanwhile."""
+FAILURE_HALF_LIFE_S = 3.0
+"""A failure counts half after this time: an upstream that came back is in full
+use again after some ten seconds, one that fails on is found within a few."""
+FAILURE_WEIGHT = 0.34
+"""Share of its answers that one failure makes an upstream seem to fail; three
+in a row make it the last choice."""
+LATENCY_WEIGHT = 0.2
+"""Weight of the newest answer in the mean time of answers."""
+UNREACHABLE_S = 0.5
+"""How long an upstream that refused a connection is left alone, doubled with
+each further one up to the limit."""
+UNREACHABLE_MOST_S = 4.0
+
+
+@dataclass
+class UpstreamLoad:
+    """What one instance knows of one upstream. Times in seconds.
+
+    *queued_ms* is how long the prompts of our requests that have no first event
+    yet take to be read there. *running* and *waiting* are the
+    upstream's own words at *reported_at*, *own_then* our requests at that time.
+    """
+
+    cache: PrefixCache
+    in_flight: int = 0
+    queued_ms: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    own_then: int = 0
+    reported_at: float = -math.inf
+    latency_s: float = 0.0
+    answers: int = 0
+    avoided_until: float = -math.inf
+    refusals: int = 0
+    _failing: float = field(default=0.0)
+    _failed_at: float = field(default=0.0)
+
+    def note_report(self, running, waiting, now):
+        """Take the upstream's own words of its load."""
+        self.running = running
+        self.waiting = waiting
+        self.own_then = self.in_flight
+        self.reported_at = now
+
+    def note_answer(self, seconds):
+        """Count an answer that took *seconds*."""
+        self.answers += 1
+        self.refusals = 0
+        if self.answers == 1:
+            self.latency_s = seconds
+        else:
+            self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
+
+    def note_success(self, now):
+        """An answer was whole and no failure."""
+        self._decay(now)
+        self._failing *= 1 - FAILURE_WEIGHT
+
+    def note_failure(self, now):
+        """A request was lost, cut or failed there."""
+        self._decay(now)
+        self._failing += FAILURE_WEIGHT * (1 - self._failing)
+
+    def note_unreachable(self, now):
+        """No connection came about; leave it alone for a while."""
+        pause = min(UNREACHABLE_S * 2**self.refusals, UNREACHABLE_MOST_S)
+        self.refusals += 1
+        self.avoided_until = now + pause
+        self.note_failure(now)
+
+    def measure_failing(self, now):
+        """Return the share of answers that seem to fail, from 0 to 1."""
+        age = max(0.0, now - self._failed_at)
+        return self._failing * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+
+    def estimate_busy(self, now):
+        """Return how many requests are probably there, ours and others'."""
+        age = max(0.0, now - self.reported_at)
+        trust = 0.5 ** (age / REPORT_HALF_LIFE_S)
+        others = max(0, self.running + self.waiting - self.own_then)
+        return self.in_flight + others * trust
+
+    def _decay(self, now):
+        self._failing = self.measure_failing(now)
+        self._failed_at = now
--- /dev/null
+++ b/src/merlinnotch/_placement/loads.py
@@ -0,0 +1,37 @@
+"""The loads of all upstreams that one instance sends to."""
+
+from .cache import MEMORY_SHARE, PrefixCache
+from .load import UpstreamLoad
+
+DEFAULT_MEMORY_TOKENS = 100_000
+
+
+class LoadTable:
+    """One :class:`UpstreamLoad` for each incarnation of an upstream.
+
+    *find_engine* maps a service's name to its engine, or None.
+    """
+
+    def __init__(self, find_engine):
+        self._find_engine = find_engine
+        self._loads = {}
+
+    def get(self, upstream):
+        """Return the load of *upstream*."""
+        load = self._loads.get(upstream.id)
+        if load is None:
+            engine = self._find_engine(upstream.service)
+            tokens = engine.memory_tokens if engine else DEFAULT_MEMORY_TOKENS
+            load = UpstreamLoad(PrefixCache(int(tokens * MEMORY_SHARE)))
+            self._loads[upstream.id] = load
+        return load
+
+    def drop(self, upstream_id):
+        """Forget an upstream that has left."""
+        self._loads.pop(upstream_id, None)
+
+    def measure_pressure(self, upstreams, now):
+        """Return how full *upstreams* are on average, 1.0 where all slots run."""
+        slots = sum(u.slots for u in upstreams)
+        busy = sum(self.get(u).estimate_busy(now) for u in upstreams)
+        return busy / slots if slots else 1.0
--- /dev/null
+++ b/src/merlinnotch/_placement/placer.py
@@ -0,0 +1,100 @@
+"""Choosing the upstream for one request."""
+
+import hashlib
+from dataclasses import dataclass
+
+ZONE_PENALTY_MS = 3.0
+"""A request stays in its zone unless another upstream is that much sooner: the
+way there and back takes 1 to 2 ms and its bytes are paid for."""
+STEP_MS_PER_REQUEST = 4.0
+"""What each request on an engine adds to the time to another one's first event:
+a longer step for all that run, and a place in the queue now and then."""
+FAILURE_MS = 4000.0
+"""What a failed answer costs its caller: most of the goal of a slow kind."""
+HOME_SHARE = 0.6
+"""Part of a shared prompt that is taken to be cached at its home upstream,
+where other instances send the same prompt."""
+COLD_MS = 30.0
+
+
+@dataclass(frozen=True)
+class Work:
+    """What a request asks of an upstream.
+
+    *prompt* and *model* are empty for a plain service. *home_key* names the
+    shared part of the prompt that decides where it is at home.
+    """
+
+    prompt: tuple = ()
+    model: str | None = None
+
+    @property
+    def home_key(self):
+        """The longest chain of shared parts; the last part is the caller's own."""
+        return "/".join(part.id for part in self.prompt[:-1])
+
+
+class Placer:
+    """Picks the upstream from which the first event is expected soonest."""
+
+    def __init__(self, zone, loads, paces):
+        self._zone = zone
+        self._loads = loads
+        self._paces = paces
+
+    def pick(self, candidates, work, now):
+        """Return the best of *candidates*, or None where there is none."""
+        if not candidates:
+            return None
+        reachable = [
+            u for u in candidates if self._loads.get(u).avoided_until <= now
+        ] or candidates
+        if work.model is None:
+            return min(reachable, key=lambda u: self._rate_plain(u, now))
+        home = _find_home(reachable, work.home_key)
+        return min(reachable, key=lambda u: self._rate_engine(u, work, home, now))
+
+    def count_missing(self, upstream, work, home=None):
+        """Return the tokens of the prompt that *upstream* probably has to read."""
+        cache = self._loads.get(upstream).cache
+        missing = cache.count_missing(work.model, work.prompt)
+        if upstream is home and work.prompt:
+            own = work.prompt[-1].tokens
+            missing = own + (missing - own) * (1 - HOME_SHARE)
+        return missing
+
+    def _rate_plain(self, upstream, now):
+        load = self._loads.get(upstream)
+        busy = load.estimate_busy(now) / max(1, upstream.slots)
+        cost = load.latency_s * 1000.0 * (1.0 + 2.0 * busy)
+        cost += FAILURE_MS * load.measure_failing(now)
+        if upstream.cold_s > 0:
+            cost += COLD_MS
+        return cost + self._zone_cost(upstream)
+
+    def _rate_engine(self, upstream, work, home, now):
+        load = self._loads.get(upstream)
+        missing = self.count_missing(upstream, work, home)
+        reading = missing * self._paces.get(work.model) + load.queued_ms
+        batch = load.estimate_busy(now) * STEP_MS_PER_REQUEST
+        waiting = load.waiting * STEP_MS_PER_REQUEST
+        failing = FAILURE_MS * load.measure_failing(now)
+        return reading + batch + waiting + failing + self._zone_cost(upstream)
+
+    def _zone_cost(self, upstream):
+        return 0.0 if upstream.zone == self._zone else ZONE_PENALTY_MS
+
+
+def _find_home(candidates, key):
+    """Return the upstream where prompts that begin with *key* are at home.
+
+    Rendezvous hashing: every instance finds the same one without a word, and
+    a change of the list moves only what has to move.
+    """
+    if not key:
+        return None
+    return max(candidates, key=lambda u: _digest(key, u.id))
+
+
+def _digest(key, upstream_id):
+    return hashlib.blake2b(f"{key} {upstream_id}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/merlinnotch/_rollout/tallies.py
@@ -0,0 +1,77 @@
+"""Counts of answers by version, summed over instances without double counting."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class TallyKey:
+    """What is counted together: answers of one version on one route."""
+
+    service: str
+    version: str
+    route: str
+
+
+@dataclass(frozen=True)
+class Tally:
+    """Answers and, among them, bad ones. Both only grow."""
+
+    answers: int = 0
+    bad: int = 0
+
+    def add(self, other):
+        """Return the sum."""
+        return Tally(self.answers + other.answers, self.bad + other.bad)
+
+    def join(self, other):
+        """Return the later state of the same counter."""
+        return Tally(max(self.answers, other.answers), max(self.bad, other.bad))
+
+
+class TallyBook:
+    """Grow-only counters of every instance, merged by maximum.
+
+    *incarnation* names this process; a restarted one counts anew under another
+    name. A merged state may arrive twice and in any order.
+    """
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.counts = {}
+        self.changed = False
+
+    def note(self, key, bad):
+        """Count one answer seen by this instance."""
+        own = self.counts.setdefault(key, {})
+        step = Tally(1, int(bad))
+        own[self.incarnation] = own.get(self.incarnation, Tally()).add(step)
+        self.changed = True
+
+    def merge(self, key, incarnation, tally):
+        """Take the state of another instance's counter."""
+        known = self.counts.setdefault(key, {}).get(incarnation, Tally())
+        joined = known.join(tally)
+        if joined != known:
+            self.counts[key][incarnation] = joined
+            self.changed = True
+
+    def sum(self, key):
+        """Return the :class:`Tally` of all instances that were heard of."""
+        total = Tally()
+        for tally in self.counts.get(key, {}).values():
+            total = total.add(tally)
+        return total
+
+    def list_rows(self, service):
+        """Return (key, incarnation, tally) of every counter of *service*."""
+        return [
+            (key, incarnation, tally)
+            for key, counts in self.counts.items()
+            if key.service == service
+            for incarnation, tally in counts.items()
+        ]
+
+    def forget(self, service):
+        """Drop the counts of *service*; a new roll-out starts afresh."""
+        for key in [key for key in self.counts if key.service == service]:
+            del self.counts[key]
--- /dev/null
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -0,0 +1,72 @@
+"""Whether a version answers worse than the one that it replaces."""
+
+import math
+
+from .tallies import Tally
+
+MIN_BAD = 3
+"""Fewer bad answers never convict: upstreams fail now and then."""
+BASE_RATE = 0.04
+"""Bad answers that any version is allowed, as a share; faults of the platform
+(lost answers, spoiled bytes) make 0.02 to 0.06 at single upstreams."""
+RATE_FACTOR = 1.5
+"""How much worse than the old version's own rate the new one may be."""
+CONVICT_BELOW = 0.002
+"""Chance of that many bad answers from a sound version. The test is repeated
+with each answer, some hundred times a roll-out."""
+
+
+def is_worse(new, old):
+    """Return whether the new version's :class:`Tally` convicts it.
+
+    A one-sided binomial test against the old version's rate in the same time,
+    so that what strikes both versions convicts neither.
+    """
+    if new.bad < MIN_BAD:
+        return False
+    old_rate = old.bad / old.answers if old.answers else 0.0
+    allowed = min(0.9, BASE_RATE + RATE_FACTOR * old_rate)
+    return _tail(new.bad, new.answers, allowed) < CONVICT_BELOW
+
+
+def judge_version(book, service, target):
+    """Return a reason to take *target* back, or None.
+
+    Looks at all routes together and at each one alone: some versions fail on
+    one route only.
+    """
+    new_total = Tally()
+    old_total = Tally()
+    for key in list(book.counts):
+        if key.service != service or key.version != target:
+            continue
+        new = book.sum(key)
+        old = _sum_others(book, service, target, key.route)
+        if is_worse(new, old):
+            return f"route {key.route}: {_compare(new, old)}"
+        new_total = new_total.add(new)
+        old_total = old_total.add(old)
+    if is_worse(new_total, old_total):
+        return _compare(new_total, old_total)
+    return None
+
+
+def _sum_others(book, service, target, route):
+    total = Tally()
+    for key in book.counts:
+        if (key.service, key.route) == (service, route) and key.version != target:
+            total = total.add(book.sum(key))
+    return total
+
+
+def _compare(new, old):
+    return f"{new.bad} of {new.answers} bad, before {old.bad} of {old.answers}"
+
+
+def _tail(count, trials, rate):
+    """Return the chance of *count* or more of *trials* at *rate*."""
+    below = sum(
+        math.comb(trials, k) * rate**k * (1 - rate) ** (trials - k)
+        for k in range(count)
+    )
+    return max(0.0, 1.0 - below)
--- a/src/merlinnotch/_store/__init__.py
+++ b/src/merlinnotch/_store/__init__.py
@@ -1,8 +1,27 @@
-"""Access to the platform's key-value service."""
+"""Access to the platform's key-value service.
+
+Names are loaded when first used: a process pays only for the client it needs.
+"""
+
+import importlib
 
 from .base import ABSENT, KeyValueStore
-from .http import HttpStore
-from .item import Item, Listing
-from .memory import MemoryStore
+from .item import Changes, Item, Listing
+
+_MODULES = {"HttpStore": "http", "MemoryStore": "memory"}
+
+__all__ = [
+    "ABSENT",
+    "Changes",
+    "HttpStore",
+    "Item",
+    "KeyValueStore",
+    "Listing",
+    "MemoryStore",
+]
+
 
-__all__ = ["ABSENT", "HttpStore", "Item", "KeyValueStore", "Listing", "MemoryStore"]
+def __getattr__(name):
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f".{_MODULES[name]}", __name__), name)
--- a/src/merlinnotch/_store/base.py
+++ b/src/merlinnotch/_store/base.py
@@ -24,6 +24,14 @@
         Returns after *wait_s* seconds at the latest.
         """
 
+    @abc.abstractmethod
+    def read_changes(self, prefix, index, wait_s):
+        """Return the :class:`Changes` below *prefix* after *index*.
+
+        Waits *wait_s* seconds for the first one. Raises :class:`HistoryLost`
+        when the service no longer keeps what changed since.
+        """
+
     @abc.abstractmethod
     def swap(self, key, value, modify_index):
         """Write *value* if the key's modify index is still *modify_index*.
--- a/src/merlinnotch/_store/http.py
+++ b/src/merlinnotch/_store/http.py
@@ -13,7 +13,7 @@
 
 from .._errors import StoreConflict, StoreUnavailable
 from .base import KeyValueStore
-from .item import Item, Listing
+from .item import Changes, Item, Listing
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -48,6 +48,12 @@
         query = {"index": index, "wait": f"{int(wait_s * 1000)}ms"}
         return self._list(prefix, recurse, query, wait_s + WATCH_GRACE_S)
 
+    def read_changes(self, prefix, index, wait_s):
+        """Return everything below *prefix*; the service keeps no deletions."""
+        listing = self.watch(prefix, index, wait_s, recurse=True)
+        written = tuple(i for i in listing.items if i.modify_index > index)
+        return Changes(written, (), listing.index)
+
     def swap(self, key, value, modify_index):
         self._on_call("write")
         path = f"/v1/kv/{urllib.parse.quote(key)}?cas={modify_index}"
--- a/src/merlinnotch/_store/item.py
+++ b/src/merlinnotch/_store/item.py
@@ -23,3 +23,15 @@
     def get(self, key):
         """Return the item of *key*, or None."""
         return next((item for item in self.items if item.key == key), None)
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Items written and keys deleted, and the index to go on from.
+
+    Within one reply a key stands in one of the two only.
+    """
+
+    written: tuple[Item, ...]
+    deleted: tuple[str, ...]
+    index: int
--- a/src/merlinnotch/_store/memory.py
+++ b/src/merlinnotch/_store/memory.py
@@ -4,7 +4,7 @@
 
 from .._errors import StoreConflict
 from .base import KeyValueStore
-from .item import Item, Listing
+from .item import Changes, Item, Listing
 
 
 class MemoryStore(KeyValueStore):
@@ -12,6 +12,7 @@
 
     def __init__(self):
         self.items = {}
+        self.deletions = {}
         self.leases = set()
         self.index = 0
         self._lease_ids = itertools.count(1)
@@ -27,6 +28,19 @@
     def watch(self, prefix, index, wait_s, recurse=False):
         return self.read(prefix, recurse)
 
+    def read_changes(self, prefix, index, wait_s):
+        written = [
+            item
+            for key, item in self.items.items()
+            if key.startswith(prefix) and item.modify_index > index
+        ]
+        deleted = [
+            key
+            for key, at in self.deletions.items()
+            if key.startswith(prefix) and at > index and key not in self.items
+        ]
+        return Changes(tuple(written), tuple(deleted), self.index)
+
     def swap(self, key, value, modify_index):
         item = self.items.get(key)
         if (item.modify_index if item else 0) != modify_index:
@@ -42,6 +56,7 @@
             raise StoreConflict(key)
         self.index += 1
         del self.items[key]
+        self.deletions[key] = self.index
 
     def open_lease(self, ttl_s, name):
         lease = f"lease-{next(self._lease_ids)}"
--- /dev/null
+++ b/src/merlinnotch/platform/keys.py
@@ -0,0 +1,19 @@
+"""Keys of the platform's store."""
+
+EVERYTHING = ""
+"""Prefix that covers the operators', the upstreams' and our own keys."""
+
+CONFIGURATION = "op/config"
+ROLLOUT_PREFIX = "op/rollout/"
+UPSTREAM_PREFIX = "servers/"
+STATUS_PREFIX = "status/rollout/"
+
+
+def status_key(service):
+    """Return where the state of a service's roll-out is told to operators."""
+    return STATUS_PREFIX + service
+
+
+def is_upstream_key(key):
+    """Return whether *key* holds the entry of an upstream."""
+    return key.startswith(UPSTREAM_PREFIX)
--- /dev/null
+++ b/src/merlinnotch/platform/store.py
@@ -0,0 +1,254 @@
+"""The platform's store over its HTTP interface.
+
+Its own names: ``at`` is the store's index as of a reply, ``after`` is a key
+where a listing goes on and an index where a watch goes on, ``revision`` is the
+index of an item's last change and ``lease-id`` 0 stands for no lease.
+"""
+
+import base64
+import urllib.parse
+
+import msgspec
+
+from .._errors import (
+    ConnectFailed,
+    ConnectionBroken,
+    HistoryLost,
+    MalformedMessage,
+    StoreConflict,
+    StoreUnavailable,
+)
+from .._http import UpstreamConnection, call
+from .._store import Changes, Item, KeyValueStore, Listing
+
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONDITION_FAILED = 412
+
+NO_LEASE = 0
+MAX_REPLY_BYTES = 8 << 20
+"""A page holds about 1 MB of values, a third more as text."""
+CONNECT_S = 0.5
+"""A path that works connects in milliseconds; a cut one never does."""
+WATCH_GRACE_S = 0.5
+"""How much later than asked a watch may return before its connection counts as
+silent; a reply takes 4 ms, a slow store some 200 ms."""
+STALE_S = 10.0
+"""Idle connections older than this are not used again."""
+
+JSON = ("content-type", "application/json")
+
+
+class _ItemRow(msgspec.Struct, rename="kebab"):
+    key: str
+    value: str = ""
+    revision: int = 0
+    lease_id: int = NO_LEASE
+    deleted: bool = False
+
+
+class _PageReply(msgspec.Struct, rename="kebab"):
+    items: list[_ItemRow] = []
+    has_more: bool = False
+    at: int = 0
+
+
+class _ChangesReply(msgspec.Struct, rename="kebab"):
+    events: list[_ItemRow] = []
+    at: int = 0
+
+
+class _TransactionReply(msgspec.Struct, rename="kebab"):
+    revision: int = 0
+
+
+class _LeaseReply(msgspec.Struct, rename="kebab"):
+    lease_id: int = NO_LEASE
+    ttl_ms: int = 0
+
+
+class PlatformStore(KeyValueStore):
+    """*address* is host:port; *timeout_s* bounds each call but watches.
+
+    Watches have a connection of their own. After a failure a connection is
+    never used again: a lost reply leaves it silent for good. *on_call* is
+    called with the kind of each call, for the counters.
+    """
+
+    def __init__(self, address, read_clock, timeout_s, on_call=lambda kind: None):
+        self.address = address
+        self._read_clock = read_clock
+        self._timeout_s = timeout_s
+        self._on_call = on_call
+        self._idle = []
+
+    def read(self, prefix, recurse=False):
+        if not recurse:
+            return self._read_key(prefix)
+        items = []
+        after = None
+        index = None
+        while True:
+            query = {"path-prefix": prefix}
+            if after is not None:
+                query["after"] = after
+            reply = self._get("read", "/kv-range", query, _PageReply)
+            # Pages are read one after the other; what changes between them is
+            # told again by a watch that goes on from the first page's index.
+            index = reply.at if index is None else index
+            items.extend(_build_item(row) for row in reply.items)
+            if not reply.has_more or not reply.items:
+                return Listing(tuple(items), index)
+            after = reply.items[-1].key
+
+    def watch(self, prefix, index, wait_s, recurse=False):
+        self.read_changes(prefix, index, wait_s)
+        return self.read(prefix, recurse)
+
+    def read_changes(self, prefix, index, wait_s):
+        query = {
+            "path-prefix": prefix,
+            "after": index,
+            "wait-ms": int(wait_s * 1000),
+        }
+        wait_s += WATCH_GRACE_S
+        reply = self._get("watch", "/kv-watch", query, _ChangesReply, wait_s)
+        last = {row.key: row for row in reply.events}
+        written = tuple(_build_item(r) for r in last.values() if not r.deleted)
+        deleted = tuple(row.key for row in last.values() if row.deleted)
+        return Changes(written, deleted, reply.at)
+
+    def swap(self, key, value, modify_index):
+        return self._write(key, value, NO_LEASE, modify_index)
+
+    def put(self, key, value):
+        return self._write(key, value, NO_LEASE, None)
+
+    def delete(self, key, modify_index):
+        expected = [{"key": key, "revision": modify_index}]
+        self._commit({"expected": expected, "puts": [], "remove": [key]}, key)
+
+    def open_lease(self, ttl_s, name):
+        body = {"ttl-ms": int(ttl_s * 1000)}
+        status, data = self._call("lease", "POST", "/kv-lease", body)
+        _check_status(status, (OK,))
+        return _decode(data, _LeaseReply).lease_id
+
+    def renew_lease(self, lease):
+        status, _ = self._call("renewal", "POST", f"/kv-keep/{lease}")
+        if status == NOT_FOUND:
+            raise StoreConflict(f"lease {lease} has ended")
+        _check_status(status, (OK,))
+
+    def close_lease(self, lease):
+        status, _ = self._call("lease", "DELETE", f"/kv-lease-end/{lease}")
+        _check_status(status, (OK, NOT_FOUND))
+
+    def acquire(self, key, value, lease):
+        listing = self._read_key(key)
+        item = listing.get(key)
+        if item is not None and item.session not in (None, lease):
+            return False
+        try:
+            self._write(key, value, lease, item.modify_index if item else 0)
+        except StoreConflict:
+            return False
+        return True
+
+    def attach(self, key, value, lease):
+        """Write *value* whatever was there, to vanish with *lease*."""
+        return self._write(key, value, lease, None)
+
+    def _read_key(self, key):
+        query = {"key": key}
+        status, data = self._call("read", "GET", "/kv-key", query=query)
+        if status == NOT_FOUND:
+            return Listing((), 0)
+        _check_status(status, (OK,))
+        item = _build_item(_decode(data, _ItemRow))
+        return Listing((item,), item.modify_index)
+
+    def _write(self, key, value, lease, modify_index):
+        put = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease-id": lease,
+        }
+        expected = []
+        if modify_index is not None:
+            expected.append({"key": key, "revision": modify_index})
+        return self._commit({"expected": expected, "puts": [put], "remove": []}, key)
+
+    def _commit(self, body, key):
+        status, data = self._call("write", "POST", "/kv-txn", body)
+        if status in (CONDITION_FAILED, NOT_FOUND):
+            raise StoreConflict(key)
+        _check_status(status, (OK,))
+        return _decode(data, _TransactionReply).revision
+
+    def _get(self, kind, path, query, reply_type, timeout_s=None):
+        status, data = self._call(kind, "GET", path, None, query, timeout_s)
+        if status == GONE:
+            raise HistoryLost(path)
+        _check_status(status, (OK,))
+        return _decode(data, reply_type)
+
+    def _call(self, kind, method, path, body=None, query=None, timeout_s=None):
+        self._on_call(kind)
+        if query:
+            path += "?" + urllib.parse.urlencode(query)
+        data = b"" if body is None else msgspec.json.encode(body)
+        pairs = [("host", self.address), JSON]
+        until = self._read_clock() + (timeout_s or self._timeout_s)
+        try:
+            connection = self._take_connection()
+        except ConnectFailed as error:
+            raise StoreUnavailable(str(error)) from error
+        try:
+            head, reply = call(
+                connection, method, path, pairs, data, until, MAX_REPLY_BYTES
+            )
+        except (ConnectionBroken, MalformedMessage) as error:
+            connection.close()
+            raise StoreUnavailable(str(error)) from error
+        except BaseException:
+            connection.close()
+            raise
+        self._keep_connection(connection)
+        return head.status, reply
+
+    def _take_connection(self):
+        now = self._read_clock()
+        while self._idle:
+            connection = self._idle.pop()
+            if now - connection.idle_since < STALE_S and connection.is_usable():
+                return connection
+            connection.close()
+        return UpstreamConnection(self.address, self._read_clock, CONNECT_S)
+
+    def _keep_connection(self, connection):
+        if connection.make_reusable(self._read_clock()):
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+
+def _check_status(status, accepted):
+    if status not in accepted:
+        raise StoreUnavailable(f"status {status}")
+
+
+def _decode(data, kind):
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailable(f"malformed reply: {error}") from error
+
+
+def _build_item(row):
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError as error:
+        raise StoreUnavailable(f"malformed value: {error}") from error
+    return Item(row.key, value, row.revision, row.lease_id or None)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,157 @@
+"""A stand-in of the platform's store: its protocol, and its ways to fail."""
+
+import base64
+import json
+import urllib.parse
+
+import eventlet
+
+from merlinnotch._entry.clock import read_clock
+from merlinnotch._http import PageServer
+
+PAGE = 500
+
+
+class StandInStore:
+    """Listens on a port of the system's choice; its state is open to tests.
+
+    *status* answers every call with that status, *silent* leaves all calls
+    unanswered, *lost* leaves the next writes unanswered after they are done.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.kept_from = 0
+        self.revision = 0
+        self.leases = {}
+        self.calls = []
+        self.status = None
+        self.silent = False
+        self.lost = 0
+        self._server = PageServer("127.0.0.1:0", self._respond, read_clock)
+        self.address = self._server.address
+
+    def close(self):
+        """Stop listening."""
+        self._server.close()
+
+    def put(self, key, value, lease=0):
+        """Write as the operator or an upstream would."""
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        row = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease-id": lease,
+        }
+        self.items[key] = row
+        self.history.append(row)
+
+    def delete(self, key):
+        """Remove a key as an expiry would."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.history.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def read(self, key):
+        """Return the value of *key* as bytes, or None."""
+        row = self.items.get(key)
+        return None if row is None else base64.b64decode(row["value"])
+
+    def forget_history(self):
+        """Drop all changes up to now."""
+        self.history.clear()
+        self.kept_from = self.revision
+
+    def _respond(self, request):
+        path, _, text = request.target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        self.calls.append((request.method, path))
+        while self.silent:
+            eventlet.sleep(0.02)
+        if self.status is not None:
+            return self.status, [], b""
+        name = path.strip("/").partition("/")[0].replace("-", "_")
+        status, body = getattr(self, f"_{name}")(path, query, request.body)
+        if self.lost and request.method == "POST":
+            self.lost -= 1
+            while True:
+                eventlet.sleep(1)
+        return status, [("content-type", "application/json")], json.dumps(body).encode()
+
+    def _kv_key(self, path, query, body):
+        row = self.items.get(query["key"])
+        if row is None:
+            return 404, {"at": self.revision}
+        return 200, row | {"at": self.revision}
+
+    def _kv_range(self, path, query, body):
+        keys = sorted(k for k in self.items if k.startswith(query["path-prefix"]))
+        keys = [key for key in keys if key > query.get("after", "")]
+        rows = [self.items[key] for key in keys[:PAGE]]
+        return 200, {
+            "items": rows,
+            "has-more": len(keys) > PAGE,
+            "at": self.revision,
+        }
+
+    def _kv_watch(self, path, query, body):
+        after = int(query["after"])
+        until = read_clock() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.kept_from:
+                return 410, {}
+            events = [
+                row
+                for row in self.history
+                if row["revision"] > after
+                and row["key"].startswith(query["path-prefix"])
+            ]
+            if events or read_clock() >= until or self.status or self.silent:
+                return 200, {"events": events, "at": self.revision}
+            eventlet.sleep(0.01)
+
+    def _kv_txn(self, path, query, body):
+        change = json.loads(body)
+        found = []
+        for row in change["expected"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                found.append(item or {"key": row["key"], "revision": 0})
+        if found:
+            return 412, {"items": found}
+        for row in change["puts"]:
+            if row.get("lease-id") and row["lease-id"] not in self.leases:
+                return 404, {}
+            self.put(row["key"], base64.b64decode(row["value"]), row["lease-id"])
+        for key in change["remove"]:
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    def _kv_lease(self, path, query, body):
+        lease = len(self.leases) + 1000
+        ttl_ms = json.loads(body)["ttl-ms"]
+        self.leases[lease] = ttl_ms
+        return 200, {"lease-id": lease, "ttl-ms": ttl_ms}
+
+    def _kv_keep(self, path, query, body):
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        return 200, {"ttl-ms": self.leases[lease]}
+
+    def _kv_lease_end(self, path, query, body):
+        self.end_lease(int(path.rpartition("/")[2]))
+        return 200, {}
+
+    def end_lease(self, lease):
+        """End a lease with its keys."""
+        self.leases.pop(lease, None)
+        for key in [k for k, row in self.items.items() if row["lease-id"] == lease]:
+            self.delete(key)
--- /dev/null
+++ b/standins/platform_upstream.py
@@ -0,0 +1,119 @@
+"""A stand-in of the platform's servers whose answers tests script byte by byte."""
+
+import eventlet
+
+from merlinnotch._entry.clock import read_clock
+from merlinnotch._errors import TransportError
+from merlinnotch._http.caller import CallerConnection
+from merlinnotch._http.listener import Listener
+from merlinnotch._http.simple import PageLimits
+
+IDLE_S = 30.0
+
+
+class StandInUpstream:
+    """Answers each request with *script(request, write, read_clock)*.
+
+    A script writes raw bytes, sleeps, and returns whether the connection stays
+    open. What arrived is kept in *requests*; *left* counts callers that closed
+    before the script ended.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.connections = 0
+        self.left = 0
+        self._listener = Listener("127.0.0.1:0", self._serve)
+        self.address = self._listener.address
+
+    def close(self):
+        """Stop listening; open connections stay."""
+        self._listener.close()
+
+    def _serve(self, sock):
+        self.connections += 1
+        connection = CallerConnection(sock, read_clock, 5.0)
+        try:
+            while True:
+                request = connection.read_request(PageLimits(), IDLE_S)
+                if request is None:
+                    return
+                self.requests.append(request)
+                connection.watch_departure(self._note_left)
+                if not self.script(request, connection.write):
+                    return
+                # The bytes were written past the parser; take it to its end.
+                connection.start_answer(200, [], 0)
+                connection.encode_end()
+                if not connection.finish():
+                    return
+        except TransportError:
+            return
+
+    def _note_left(self):
+        self.left += 1
+
+
+def make_answer(request, body=b"done", status=200, extra=(), close=False):
+    """Return the bytes of a whole answer to *request*."""
+    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}", "x-server-seal: s"]
+    lines.append(f"x-attempt-id: {request.fields.get('x-attempt-id', '')}")
+    lines += [f"{name}: {value}" for name, value in extra]
+    if close:
+        lines.append("connection: close")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def answer(body=b"done", status=200, extra=(), close=False):
+    """Return a script that answers at once."""
+
+    def script(request, write):
+        write(make_answer(request, body, status, extra, close))
+        return not close
+
+    return script
+
+
+def stream(first=1, last=4, stop_after=None, extra=(), pause_s=0.0):
+    """Return a script that streams the events *first* to *last*.
+
+    With *stop_after* it breaks off in the middle of the event after that one.
+    A request that names its last event is answered from the next one on.
+    """
+
+    def script(request, write):
+        begin = int(request.fields.get("last-event-id", first - 1)) + 1
+        lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
+        lines.append("content-type: text/event-stream")
+        lines.append(f"x-attempt-id: {request.fields.get('x-attempt-id', '')}")
+        lines += [f"{name}: {value}" for name, value in extra]
+        write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(begin, last + 1):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if stop_after is not None and number > stop_after:
+                write(b"%x\r\n%s" % (len(event), event[:7]))
+                return False
+            write(b"%x\r\n%s\r\n" % (len(event), event))
+            eventlet.sleep(pause_s)
+        write(b"0\r\n\r\n")
+        return True
+
+    return script
+
+
+def hang(request, write):
+    """Never answer."""
+    eventlet.sleep(3600)
+    return False
+
+
+def reset(request, write):
+    """Close without an answer."""
+    return False
+
+
+def refuse(request, write):
+    """Say that the request was not run."""
+    write(make_answer(request, b"", 503, [("x-not-executed", "1")]))
+    return True
--- /dev/null
+++ b/tests/entry/test_conductor.py
@@ -0,0 +1,107 @@
+"""Roll-outs over several instances and the real tasks."""
+
+import json
+
+import eventlet
+import pytest
+
+from standins.platform_upstream import answer
+from tests.platform_world import PLAIN, Caller, wait_until
+
+PERIOD_S = 2.0
+
+
+def read_state(world):
+    value = world.store.read("status/rollout/app")
+    return json.loads(value)["state"] if value else None
+
+
+@pytest.fixture
+def traffic(world):
+    """Return a function that sends plain requests to every instance."""
+    statuses = []
+
+    def send(caller):
+        while True:
+            statuses.append(caller.send(PLAIN).status)
+            eventlet.sleep(0.005)
+
+    threads = []
+
+    def start():
+        threads.extend(eventlet.spawn(send, Caller(one)) for one in world.instances)
+        return statuses
+
+    yield start
+    for thread in threads:
+        thread.kill()
+
+
+def order(world, target="v2"):
+    document = {"service": "app", "target": target, "period-s": PERIOD_S}
+    world.store.put("op/rollout/app", document)
+
+
+def test_a_good_version_takes_over_and_the_order_is_complete(world, traffic):
+    old = world.add_upstream("i-1")
+    new = world.add_upstream("i-2", version="v2")
+    for name in ("one", "two", "three"):
+        world.add_instance(name)
+    statuses = traffic()
+    order(world)
+    wait_until(lambda: read_state(world) == "active")
+    wait_until(lambda: read_state(world) == "complete", 8.0)
+    wait_until(
+        lambda: all(
+            str(one.view.get_rollout("app").state) == "complete"
+            for one in world.instances
+        )
+    )
+    count = len(old.requests)
+    seen = len(new.requests)
+    wait_until(lambda: len(new.requests) > seen + 20)
+    assert len(old.requests) == count
+    assert set(statuses) == {200}
+
+
+def test_a_bad_version_is_taken_back_everywhere(world, traffic):
+    world.add_upstream("i-1")
+    bad = world.add_upstream("i-2", answer(status=500), version="v2")
+    for name in ("one", "two", "three"):
+        world.add_instance(name)
+    traffic()
+    order(world)
+    wait_until(lambda: read_state(world) == "reverted", 8.0)
+    wait_until(
+        lambda: all(
+            str(one.view.get_rollout("app").state) == "reverted"
+            for one in world.instances
+        )
+    )
+    count = len(bad.requests)
+    eventlet.sleep(0.3)
+    assert len(bad.requests) == count
+
+
+def test_a_bad_version_is_left_alone_although_the_store_is_gone(world, traffic):
+    world.add_upstream("i-1")
+    bad = world.add_upstream("i-2", answer(status=500), version="v2")
+    one = world.add_instance("one")
+    traffic()
+    order(world)
+    wait_until(lambda: one.view.get_rollout("app").current_stage is not None)
+    world.store.silent = True
+    wait_until(lambda: "v2" in one.view.get_rollout("app").bad_versions, 8.0)
+    count = len(bad.requests)
+    eventlet.sleep(0.3)
+    assert len(bad.requests) <= count + 1
+    world.store.silent = False
+    wait_until(lambda: read_state(world) == "reverted", 8.0)
+
+
+def test_an_order_without_upstreams_of_its_version_waits(world):
+    world.add_upstream("i-1")
+    world.add_instance("one")
+    order(world)
+    eventlet.sleep(0.8)
+    assert read_state(world) is None
--- /dev/null
+++ b/tests/entry/test_logs.py
@@ -0,0 +1,67 @@
+"""Logs are bounded and never waited for."""
+
+import json
+import logging
+import os
+
+import pytest
+
+from merlinnotch._entry.logs import BoundedHandler
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.fixture
+def make_logger(pipe):
+    def make_logger(lines_per_s, clock):
+        handler = BoundedHandler(lines_per_s, pipe[1], clock)
+        handler.setFormatter(logging.Formatter('{"m": "%(message)s"}'))
+        logger = logging.Logger("test", logging.INFO)
+        logger.addHandler(handler)
+        return logger, handler
+
+    return make_logger
+
+
+def test_lines_over_the_rate_are_left_out_and_counted(make_logger, pipe):
+    clock = Clock()
+    logger, handler = make_logger(10, clock)
+    for _ in range(100):
+        logger.info("x")
+    assert os.read(pipe[0], 1 << 20).count(b"\n") == 20
+    assert handler.left_out == 80
+    clock.now = 1.0
+    logger.info("y")
+    assert os.read(pipe[0], 1 << 20).count(b"\n") == 1
+    assert handler.left_out == 0
+
+
+def test_warnings_go_out_over_the_rate(make_logger, pipe):
+    logger, _ = make_logger(0, Clock())
+    logger.warning("x")
+    assert os.read(pipe[0], 100).count(b"\n") == 1
+
+
+def test_a_reader_that_stops_reading_holds_nothing_up(make_logger, pipe):
+    logger, handler = make_logger(1e6, Clock())
+    for number in range(3000):
+        logger.info("line %d %s", number, "x" * 100)
+    assert handler.left_out
+    data = os.read(pipe[0], 1 << 20)
+    logger.info("last")
+    data += os.read(pipe[0], 1 << 20)
+    assert all(json.loads(line) for line in data.splitlines())
--- /dev/null
+++ b/tests/entry/test_settings.py
@@ -0,0 +1,70 @@
+"""The settings file, and the template that the platform fills in."""
+
+import pathlib
+import re
+
+import pytest
+
+from merlinnotch._entry.settings import load_entry_settings
+from merlinnotch._errors import BadSettings
+
+TEMPLATE = pathlib.Path(__file__).parents[2] / "deploy" / "entry.toml.template"
+VALUES = {
+    "node-name|json": '"edge-a-1"',
+    "zone|json": '"zone-a"',
+    "listen.front|json": '"10.1.0.40:8227"',
+    "listen.ready|json": '"10.1.0.40:8220"',
+    "ip": "10.1.0.40",
+    "port-range.0": "7340",
+    "port-range.1": "7341",
+    "platform.address|json": '"10.200.1.7:8223"',
+    "bounds.retry-ratio": "0.9",
+    "bounds.retry-slack": "56",
+    "bounds.canary-share": "0.15",
+    "bounds.session-ttl-s": "5",
+    "bounds.grace-s": "8",
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write(**changes):
+        values = VALUES | changes
+        text = TEMPLATE.read_text()
+        text = re.sub(r"\{\{(.+?)\}\}", lambda m: values[m.group(1)], text)
+        path = tmp_path / "settings"
+        path.write_text(text)
+        return path
+
+    return write
+
+
+def test_the_filled_template_loads(write):
+    settings = load_entry_settings(write())
+    assert settings.instance.name == "edge-a-1"
+    assert settings.instance.peer_address == "10.1.0.40:7340"
+    assert settings.store.address == "10.200.1.7:8223"
+    assert settings.rollouts.exposure_share == 0.15
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"listen.front|json": '"nowhere"'}, "caller_address"),
+        ({"bounds.canary-share": "3"}, "exposure_share"),
+        ({"bounds.grace-s": '"soon"'}, "grace_s"),
+        ({"zone|json": "7"}, "zone"),
+        ({"bounds.retry-ratio": ""}, ""),
+    ],
+)
+def test_a_bad_value_is_told_in_one_line_with_its_field(write, changes, field):
+    with pytest.raises(BadSettings) as caught:
+        load_entry_settings(write(**changes))
+    assert len(caught.value.faults) == 1
+    assert field in caught.value.faults[0]
+    assert "\n" not in caught.value.faults[0]
+
+
+def test_a_file_that_is_not_there_is_told(tmp_path):
+    with pytest.raises(BadSettings):
+        load_entry_settings(tmp_path / "none")
--- /dev/null
+++ b/tests/entry/test_shutdown.py
@@ -0,0 +1,51 @@
+"""Being asked to stop."""
+
+import eventlet
+
+from merlinnotch._entry import process as module
+from standins.platform_upstream import make_answer, stream
+from tests.platform_world import PLAIN, STREAM, Answer, Caller, read_to_end, wait_until
+
+
+def test_requests_in_progress_are_answered_and_idle_connections_ended(
+    world, monkeypatch
+):
+    monkeypatch.setattr(module, "BALANCER_S", 0.2)
+
+    def slow(request, write):
+        eventlet.sleep(0.6)
+        write(make_answer(request))
+        return True
+
+    world.add_upstream("i-1", slow)
+    one = world.add_instance(grace_s=3.0)
+    caller = Caller(one)
+    idle = caller.open()
+    busy = caller.open()
+    busy.sendall(caller.encode(PLAIN, connection=None))
+    wait_until(lambda: one.gateway.in_flight == 1)
+    eventlet.sleep(0.05)
+    stopped = eventlet.spawn(one.shut_down)
+    eventlet.sleep(0.05)
+    assert one.respond_ready(None)[0] == 503
+    assert caller.send(PLAIN).status == 200
+    answer = Answer(read_to_end(busy))
+    assert answer.status == 200
+    assert answer.whole
+    assert read_to_end(idle) == b""
+    with eventlet.Timeout(3):
+        stopped.wait()
+
+
+def test_a_long_stream_is_cut_at_the_end_of_the_grace_period(world, monkeypatch):
+    monkeypatch.setattr(module, "BALANCER_S", 0.1)
+    world.add_upstream("i-1", stream(last=100, pause_s=0.1), service="engines")
+    one = world.add_instance(grace_s=1.2)
+    caller = Caller(one)
+    sock = caller.open()
+    sock.sendall(caller.encode(STREAM, "POST", b"x"))
+    wait_until(lambda: one.gateway.in_flight == 1)
+    with eventlet.Timeout(2):
+        one.shut_down()
+    assert one.gateway.in_flight == 1
+    sock.close()
--- /dev/null
+++ b/tests/placement/test_placement.py
@@ -0,0 +1,167 @@
+"""Where requests go and on which model they run."""
+
+import pytest
+
+from merlinnotch._fleet import Engine, Repeat, Route, Split, Upstream
+from merlinnotch._placement import (
+    CascadePolicy,
+    LoadTable,
+    PaceBook,
+    Placer,
+    PrefixCache,
+    Work,
+)
+from merlinnotch.platform.headers import CallHeaders, PromptPart
+
+ENGINE = Engine(64, 500_000, 6, {"small": 0.018, "large": 0.27})
+
+
+def upstream(name, zone="a", slots=64, **changes):
+    return Upstream(name, "s", f"10.0.0.{name[-1]}:80", zone, "v1", slots, **changes)
+
+
+@pytest.fixture
+def loads():
+    return LoadTable(lambda service: ENGINE)
+
+
+@pytest.fixture
+def placer(loads):
+    return Placer("a", loads, PaceBook())
+
+
+def prompt(*parts):
+    return tuple(PromptPart(name, tokens) for name, tokens in parts)
+
+
+def test_a_cached_prompt_draws_its_requests(placer, loads):
+    group = [upstream(f"u{n}") for n in range(4)]
+    work = Work(prompt(("sys", 500), ("doc", 5000), ("own", 100)), "small")
+    loads.get(group[2]).cache.note("small", work.prompt[:2])
+    assert placer.pick(group, work, 0.0) is group[2]
+
+
+def test_a_cache_of_another_model_does_not_count(placer, loads):
+    cache = PrefixCache(100_000)
+    parts = prompt(("a", 100), ("b", 200))
+    cache.note("small", parts)
+    assert cache.count_missing("small", parts) == 0
+    assert cache.count_missing("large", parts) == 300
+
+
+def test_a_part_counts_only_after_those_before_it():
+    cache = PrefixCache(100_000)
+    cache.note("m", prompt(("a", 100), ("b", 200)))
+    assert cache.count_missing("m", prompt(("x", 50), ("b", 200))) == 250
+    assert cache.count_missing("m", prompt(("a", 100), ("c", 70))) == 70
+
+
+def test_a_cache_forgets_the_oldest_beyond_its_size():
+    cache = PrefixCache(1000)
+    cache.note("m", prompt(("a", 600)))
+    cache.note("m", prompt(("b", 600)))
+    assert cache.count_missing("m", prompt(("a", 600))) == 600
+    assert cache.count_missing("m", prompt(("b", 600))) == 0
+
+
+def test_instances_send_a_new_shared_prompt_to_the_same_upstream():
+    group = [upstream(f"u{n}") for n in range(6)]
+    work = Work(prompt(("sys", 500), ("doc", 5000), ("own", 100)), "small")
+    picks = {
+        Placer("a", LoadTable(lambda service: ENGINE), PaceBook())
+        .pick(group, work, 0.0)
+        .id
+        for _ in range(5)
+    }
+    assert len(picks) == 1
+
+
+def test_a_short_prompt_avoids_an_upstream_that_reads_a_long_one(placer, loads):
+    group = [upstream("u1"), upstream("u2")]
+    loads.get(group[0]).queued_ms = 800.0
+    work = Work(prompt(("own", 300)), "small")
+    assert placer.pick(group, work, 0.0) is group[1]
+
+
+def test_a_failing_upstream_is_the_last_choice_and_comes_back(placer, loads):
+    group = [upstream("u1"), upstream("u2", zone="b")]
+    for _ in range(3):
+        loads.get(group[0]).note_failure(0.0)
+    assert placer.pick(group, Work(), 0.1) is group[1]
+    assert placer.pick(group, Work(), 60.0) is group[0]
+
+
+def test_an_unreachable_upstream_is_left_alone_for_a_while(placer, loads):
+    group = [upstream("u1"), upstream("u2")]
+    loads.get(group[0]).note_unreachable(0.0)
+    assert {placer.pick(group, Work(), 0.2).id for _ in range(5)} == {"u2"}
+    assert placer.pick(group[:1], Work(), 0.2) is group[0]
+
+
+def test_plain_requests_spread_by_load(placer, loads):
+    group = [upstream("u1", slots=6), upstream("u2", slots=6)]
+    for u in group:
+        loads.get(u).note_answer(0.05)
+    loads.get(group[0]).note_report(6, 4, 0.0)
+    assert placer.pick(group, Work(), 0.1) is group[1]
+
+
+def test_what_others_run_counts_as_long_as_the_report_is_young(loads):
+    load = loads.get(upstream("u1"))
+    load.in_flight = 2
+    load.note_report(10, 0, 0.0)
+    assert load.estimate_busy(0.0) == 10
+    assert 2 < load.estimate_busy(2.0) < 5
+
+
+def route(priority=1):
+    return Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        repeat=Repeat.RESUMABLE,
+        timeout_s=20,
+        goal_s=2,
+        priority=priority,
+        splits=(Split("s", 1),),
+        max_upstreams=3,
+        models=("small", "middle", "large"),
+    )
+
+
+def call(tokens_in=1000, tokens_out=300):
+    return CallHeaders("a", None, 20.0, None, (), tokens_in, tokens_out, None, None)
+
+
+def ask(confidence, pressure=0.1, model="small", **changes):
+    return CascadePolicy().choose_next(
+        route(), ENGINE, model, confidence, call(**changes), pressure
+    )
+
+
+def test_a_doubtful_answer_is_asked_again_and_a_sure_one_is_not():
+    assert ask(10.0) == "large"
+    assert ask(90.0) is None
+
+
+def test_an_answer_of_the_largest_model_stands():
+    assert ask(0.0, model="large") is None
+
+
+def test_without_an_opinion_the_answer_stands():
+    assert ask(None) is None
+
+
+def test_under_pressure_only_the_most_doubtful_are_asked_again():
+    assert ask(45.0, pressure=0.1) == "large"
+    assert ask(45.0, pressure=2.0) is None
+    assert ask(10.0, pressure=0.6) == "large"
+
+
+def test_the_pace_is_learned_from_prompts_that_met_no_queue():
+    paces = PaceBook()
+    for seconds in (0.1, 0.1, 0.11, 0.9, 0.1):
+        paces.note("m", 10_000, seconds)
+    assert 0.009 < paces.get("m") < 0.012
+    paces.note("m", 10, 5.0)
+    assert paces.get("m") < 0.012
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,109 @@
+"""The client of the platform's store."""
+
+import eventlet
+import pytest
+
+from merlinnotch._entry.clock import read_clock
+from merlinnotch._errors import HistoryLost, StoreConflict, StoreUnavailable
+from merlinnotch.platform import PlatformStore
+from standins.platform_store import StandInStore
+
+
+@pytest.fixture
+def server():
+    server = StandInStore()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def store(server):
+    return PlatformStore(server.address, read_clock, 0.3)
+
+
+def test_a_write_under_its_condition_happens_once(store, server):
+    first = store.swap("a", b"1", 0)
+    with pytest.raises(StoreConflict):
+        store.swap("a", b"2", 0)
+    store.swap("a", b"3", first)
+    assert server.read("a") == b"3"
+
+
+def test_a_listing_of_many_pages_is_read_whole(store, server):
+    for number in range(1100):
+        server.put(f"p/{number:04}", b"v")
+    listing = store.read("p/", recurse=True)
+    assert len(listing.items) == 1100
+    assert listing.index == server.revision
+
+
+def test_a_missing_key_reads_as_nothing(store):
+    assert store.read("none").items == ()
+
+
+def test_changes_come_as_soon_as_there_are_any(store, server):
+    index = store.read("", recurse=True).index
+    eventlet.spawn_after(0.05, server.put, "a", b"1")
+    changes = store.read_changes("", index, 2.0)
+    assert [item.key for item in changes.written] == ["a"]
+    server.delete("a")
+    server.put("b", b"2")
+    changes = store.read_changes("", changes.index, 2.0)
+    assert changes.deleted == ("a",)
+    assert [item.value for item in changes.written] == [b"2"]
+
+
+def test_a_watch_without_changes_returns_in_time(store):
+    started_at = read_clock()
+    assert store.read_changes("", 0, 0.1).written == ()
+    assert read_clock() - started_at < 1.0
+
+
+def test_history_that_is_gone_is_told(store, server):
+    server.put("a", b"1")
+    server.put("a", b"2")
+    server.forget_history()
+    with pytest.raises(HistoryLost):
+        store.read_changes("", 0, 0.1)
+
+
+@pytest.mark.parametrize("status", [503, 429, 500])
+def test_a_store_that_turns_calls_away_is_unavailable(store, server, status):
+    server.status = status
+    with pytest.raises(StoreUnavailable):
+        store.read("", recurse=True)
+
+
+def test_a_lost_reply_is_no_reply_and_its_connection_is_not_used_again(store, server):
+    server.lost = 1
+    with pytest.raises(StoreUnavailable):
+        store.swap("a", b"1", 0)
+    assert server.read("a") == b"1"
+    assert store.read("a").get("a").value == b"1"
+
+
+def test_a_silent_store_is_given_up(store, server):
+    server.silent = True
+    with pytest.raises(StoreUnavailable):
+        store.read_changes("", 0, 0.1)
+    server.silent = False
+    assert store.read("", recurse=True).items == ()
+
+
+def test_a_store_that_is_not_there_is_unavailable(store, server):
+    server.close()
+    with pytest.raises(StoreUnavailable):
+        store.read("a")
+
+
+def test_a_lease_holds_its_keys(store, server):
+    lease = store.open_lease(5.0, "me")
+    store.attach("a", b"1", lease)
+    store.renew_lease(lease)
+    assert not store.acquire("a", b"2", lease + 1)
+    store.close_lease(lease)
+    assert server.read("a") is None
+    with pytest.raises(StoreConflict):
+        store.renew_lease(lease)
+    with pytest.raises(StoreConflict):
+        store.attach("a", b"1", lease)
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,239 @@
+"""A small deployment on the platform's stand-ins, all in one process."""
+
+import eventlet
+from eventlet.green import socket
+
+from merlinnotch._entry.process import EntryProcess
+from merlinnotch._entry.settings import (
+    EntrySettings,
+    InstanceSettings,
+    RetrySettings,
+    RolloutSettings,
+    SessionSettings,
+    ShutdownSettings,
+    StoreSettings,
+)
+from standins.platform_store import StandInStore
+from standins.platform_upstream import StandInUpstream, answer
+from standins.ports import PortPicker
+
+HOST = "host.example"
+KEY = "key-of-team"
+PLAIN = "/plain/"
+ONCE = "/once/"
+STREAM = "/stream/"
+SIZED = "/sized/"
+WAIT_S = 5.0
+PORTS = PortPicker()
+
+
+class World:
+    """One store, upstreams of two services and any number of instances."""
+
+    def __init__(self):
+        self.store = StandInStore()
+        self.upstreams = {}
+        self.instances = []
+        self.version = 0
+        self.configure()
+
+    def configure(self, **changes):
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put("op/config", make_configuration(self.version, **changes))
+
+    def add_upstream(self, upstream_id, script=None, service="app", **changes):
+        """Start an upstream and list it."""
+        upstream = StandInUpstream(script or answer())
+        self.upstreams[upstream_id] = upstream
+        self.list_upstream(upstream_id, service, upstream.address, **changes)
+        return upstream
+
+    def list_upstream(self, upstream_id, service, address, **changes):
+        """Write an upstream's entry."""
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold-left-ms": 0,
+        }
+        self.store.put(f"servers/{upstream_id}", entry | changes)
+
+    def add_instance(self, name="one", watch_s=0.2, grace_s=2.0):
+        """Start an instance and wait until it serves."""
+        process = self.start_instance(name, watch_s, grace_s)
+        wait_until(lambda: process.view.is_ready)
+        return process
+
+    def start_instance(self, name="one", watch_s=0.2, grace_s=2.0):
+        """Start an instance."""
+        settings = make_settings(self.store.address, name, watch_s, grace_s)
+        process = EntryProcess(settings)
+        process.start()
+        self.instances.append(process)
+        return process
+
+    def close(self):
+        """End everything."""
+        for process in self.instances:
+            process.stop()
+        for upstream in self.upstreams.values():
+            upstream.close()
+        self.store.close()
+
+
+def make_settings(store_address, name, watch_s, grace_s):
+    """Return settings on free ports of this machine."""
+    places = [PORTS.pick("127.0.0.1") for _ in range(4)]
+    return EntrySettings(
+        instance=InstanceSettings(name, "zone-a", *places),
+        store=StoreSettings(store_address, 0.5, watch_s),
+        retries=RetrySettings(0.9, 56),
+        rollouts=RolloutSettings(0.15),
+        sessions=SessionSettings(0.2),
+        shutdown=ShutdownSettings(grace_s),
+    )
+
+
+def make_configuration(version, keys=(KEY,), routes=None, **changes):
+    """Return the operator's document."""
+    document = {
+        "version": version,
+        "routes": routes or make_routes(),
+        "services": [
+            {"name": "app", "health-path": "/health", "max-conns": 100},
+            {
+                "name": "engines",
+                "health-path": "/health",
+                "max-conns": 100,
+                "engine": {
+                    "slots": 8,
+                    "kv-tokens": 100000,
+                    "stride": 6,
+                    "models": [
+                        {"name": "small", "cost": 0.01},
+                        {"name": "large", "cost": 0.2},
+                    ],
+                },
+            },
+        ],
+        "limits": {
+            "max-header-bytes": 4096,
+            "max-body-bytes": 100000,
+            "header-timeout-ms": 500,
+            "idle-timeout-ms": 2000,
+        },
+        "tenants": [{"name": "team-a", "api-keys": list(keys)}],
+    }
+    return document | changes
+
+
+def make_routes():
+    """Return one route of each kind."""
+    shared = {"host": HOST, "attempts": 3, "goal-ms": 200, "timeout-ms": 1500}
+    stream = shared | {"kind": "streaming", "gap-goal-ms": 100, "timeout-ms": 4000}
+    return [
+        shared
+        | {"name": "plain", "path-prefix": PLAIN, "kind": "idempotent"}
+        | {"service": "app"},
+        shared
+        | {"name": "once", "path-prefix": ONCE, "kind": "non_idempotent"}
+        | {"service": "app"},
+        stream
+        | {"name": "stream", "path-prefix": STREAM, "service": "engines"}
+        | {"resumable": True},
+        stream
+        | {"name": "sized", "path-prefix": SIZED, "service": "engines"}
+        | {"resumable": True, "sizes": ["small", "large"]},
+    ]
+
+
+class Answer:
+    """An answer as a caller reads it; *whole* tells whether it was complete."""
+
+    def __init__(self, data):
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split()[1]) if lines[0] else 0
+        self.fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+        self.body = body
+        self.whole = True
+        if self.fields.get("transfer-encoding") == "chunked":
+            self.body, self.whole = _join_chunks(body)
+        elif "content-length" in self.fields:
+            self.whole = len(body) == int(self.fields["content-length"])
+
+
+def _join_chunks(data):
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size or b"0", 16)
+        if length == 0:
+            return body, True
+        body += data[:length]
+        data = data[length + 2 :]
+    return body, False
+
+
+class Caller:
+    """Sends requests, each on a connection of its own."""
+
+    def __init__(self, process):
+        self.address = process.settings.instance.caller_address
+        self.count = 0
+
+    def open(self):
+        """Return a connected socket."""
+        host, _, port = self.address.partition(":")
+        sock = socket.create_connection((host, int(port)), timeout=WAIT_S)
+        sock.settimeout(WAIT_S)
+        return sock
+
+    def encode(self, path, method="GET", body=b"", **fields):
+        """Return the bytes of a request; fields with None are left out."""
+        self.count += 1
+        named = {
+            "host": HOST,
+            "x-attempt-id": f"id-{self.count}",
+            "x-credential": KEY,
+            "x-deadline-ms": "3000",
+            "connection": "close",
+        }
+        named |= {name.replace("_", "-"): value for name, value in fields.items()}
+        if body or method == "POST":
+            named["content-length"] = str(len(body))
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in named.items() if value]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def send(self, path, method="GET", body=b"", **fields):
+        """Return the :class:`Answer` to one request."""
+        sock = self.open()
+        sock.sendall(self.encode(path, method, body, **fields))
+        return Answer(read_to_end(sock))
+
+
+def read_to_end(sock):
+    """Return all bytes until the other side closes."""
+    data = b""
+    while True:
+        try:
+            part = sock.recv(65536)
+        except ConnectionError:
+            break
+        if not part:
+            break
+        data += part
+    sock.close()
+    return data
+
+
+def wait_until(condition, wait_s=WAIT_S):
+    """Wait until *condition* holds; raises TimeoutError."""
+    with eventlet.Timeout(wait_s, TimeoutError("the condition never held")):
+        while not condition():
+            eventlet.sleep(0.01)
--- /dev/null
+++ b/tests/rollout/conftest.py
@@ -0,0 +1,8 @@
+import random
+
+import pytest
+
+
+@pytest.fixture
+def seeded():
+    return random.Random(7)
--- /dev/null
+++ b/tests/rollout/test_chooser.py
@@ -0,0 +1,101 @@
+"""Which version requests and sessions go to."""
+
+import random
+
+import pytest
+
+from merlinnotch._fleet import RolloutOrder, RolloutState, RolloutStatus, Stage
+from merlinnotch._fleet.view import ServiceRollout
+from merlinnotch._rollout import SessionBook, VersionChooser, place_session
+
+KEEP_S = 5.0
+
+
+@pytest.fixture
+def sessions():
+    return SessionBook(KEEP_S)
+
+
+@pytest.fixture
+def chooser(sessions):
+    return VersionChooser(sessions, random.Random(3))
+
+
+def rollout(share=None, number=1, state=None):
+    order = RolloutOrder("s", "v2", 20.0, 10)
+    status = RolloutStatus("s", "v2", state, 12) if state else None
+    stage = None if share is None else Stage("s", 10, number, share)
+    return ServiceRollout(order, status, stage)
+
+
+def goes_to(chooser, rollout, session=None, now=10.0):
+    accepts = chooser.choose("s", rollout, session, now)
+    return [v for accept in accepts for v in ("v1", "v2") if accept(v)]
+
+
+def test_before_the_first_stage_nothing_goes_to_the_new_version(chooser):
+    assert goes_to(chooser, rollout()) == ["v1"]
+
+
+def test_the_share_is_kept_exactly(chooser):
+    new = sum(goes_to(chooser, rollout(0.1))[0] == "v2" for _ in range(500))
+    assert abs(new - 50) <= 1
+
+
+def test_a_reverted_version_gets_nothing(chooser):
+    for share in (0.1, 0.5, 1.0):
+        state = rollout(share, 3, RolloutState.REVERTED)
+        assert goes_to(chooser, state) == ["v1"]
+
+
+def test_a_version_convicted_here_gets_nothing_before_the_store_says_so(chooser):
+    state = rollout(1.0, 3)
+    state.bad_versions.add("v2")
+    assert goes_to(chooser, state) == ["v1"]
+
+
+def test_old_upstreams_that_vanish_leave_the_rest_to_the_new_version(chooser):
+    assert goes_to(chooser, rollout(1.0, 3)) == ["v2", "v1"]
+    complete = rollout(1.0, 3, RolloutState.COMPLETE)
+    assert goes_to(chooser, complete)[0] == "v2"
+
+
+def make_name(below, above=0.0):
+    names = (f"session-{number}" for number in range(10000))
+    return next(n for n in names if above <= place_session(n) < below)
+
+
+def test_every_instance_places_a_session_alike(chooser):
+    other = VersionChooser(SessionBook(KEEP_S), random.Random(99))
+    for number in range(200):
+        name = f"session-{number}"
+        state = rollout(0.3)
+        assert goes_to(chooser, state, name) == goes_to(other, state, name)
+
+
+def test_sessions_wait_until_those_that_began_before_are_known(chooser):
+    name = make_name(0.1)
+    assert goes_to(chooser, rollout(0.1), name, now=KEEP_S) == ["v1"]
+    assert goes_to(chooser, rollout(0.1), name, now=KEEP_S + 1)[0] == "v2"
+
+
+def test_a_session_that_began_before_the_order_stays(chooser, sessions):
+    name = make_name(0.1)
+    sessions.note("s", name, "v1", now=4.0)
+    assert goes_to(chooser, rollout(0.1), name, now=8.0) == ["v1"]
+    assert goes_to(chooser, rollout(0.1), name, now=9.5)[0] == "v2"
+
+
+def test_a_session_told_by_a_peer_stays(chooser, sessions):
+    name = make_name(0.1)
+    other = SessionBook(KEEP_S)
+    other.note("s", name, "v1", now=100.0)
+    for session, version, left_s in other.list_kept("s", 0.1, now=101.0):
+        sessions.merge("s", session, version, left_s, now=6.0)
+    assert goes_to(chooser, rollout(0.1), name, now=9.0) == ["v1"]
+
+
+def test_a_session_on_the_new_version_stays_when_the_share_grows(chooser):
+    name = make_name(0.1)
+    for stage in (rollout(0.1), rollout(0.5, 2), rollout(1.0, 3)):
+        assert goes_to(chooser, stage, name)[0] == "v2"
