A reset connection is no end of an answer; second runs paid ahead

Ruled out: h11, which was told of an end. Change: read from the descriptor and wait on the hub. Test failed first.

Change: the second run is paid ahead and leaves 2 for failures; its price follows the slowdown of streams, learned from gaps between events.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -22,6 +22,7 @@
 from .._placement import (
     CascadePolicy,
     CascadeSettings,
+    GapBook,
     LoadTable,
     PaceBook,
     Placer,
@@ -169,6 +170,7 @@
             pool=self.pool,
             loads=self._loads,
             paces=paces,
+            gaps=GapBook(),
             placer=placer,
             cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
             chooser=UpstreamChooser(self.view, versions, placer, self._generator),
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -14,6 +14,8 @@
     gives up. *may_have_run* is set once an upstream may have begun to work.
     *tried* are the ids of upstreams that this request was sent to or that
     refused it, *sent_to* those that it counts against the route's bound.
+    *confidence* and *slowdown* are what the last choice of a model went by.
+    *paid_ahead* says that the next send has been taken from the retry budget.
     """
 
     request: object
@@ -30,10 +32,13 @@
     sent_to: set[str] = field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
+    paid_ahead: bool = False
     reasons: list[str] = field(default_factory=list)
     last_event: int | None = None
     events_sent: int = 0
     upstream_id: str | None = None
+    confidence: float | None = None
+    slowdown: float | None = None
 
     def measure_left(self, now):
         """Return the seconds until the deadline."""
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -23,6 +23,8 @@
 that one that breaks off never looks whole; plain answers hold some 100 KB."""
 OK = 200
 SERVER_ERROR = 500
+KEPT_FOR_FAILURES = 2.0
+"""Retries that larger models leave for requests that fail."""
 MIN_LEFT_S = 0.02
 """With less time left an upstream can't answer any more."""
 
@@ -92,11 +94,17 @@
             if call.may_have_run:
                 raise self._refuse_exhausted(call, now) from error
             raise
-        if call.sends and not self._parts.budgets.get(call.service).take():
+        if call.sends and not self._pay(call):
             call.reasons.append("no retry budget")
             raise self._refuse_exhausted(call, now)
         return upstream
 
+    def _pay(self, call):
+        if call.paid_ahead:
+            call.paid_ahead = False
+            return True
+        return self._parts.budgets.get(call.service).take()
+
     def _run(self, call, connection, upstream, work):
         parts = self._parts
         call.sends += 1
@@ -157,13 +165,15 @@
         if larger is not None:
             attempt.connection.close()
             self._settle(call, attempt, failed=False)
-            fields = _describe(call, attempt.upstream)
-            fields |= {"confidence": attempt.note.confidence, "next_model": larger}
+            fields = _describe(call, attempt.upstream) | {"next_model": larger}
+            fields |= {"confidence": call.confidence, "slowdown": call.slowdown}
             logger.info("larger model asked", extra=fields)
             call.model = larger
             call.reasons.append("larger model")
             return False
-        relay = StreamRelay(call, connection, self._parts.pass_on, self._read_clock)
+        relay = StreamRelay(
+            call, connection, self._parts.pass_on, self._read_clock, self._note_gap
+        )
         relay.run(attempt)
         self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
         self._settle(call, attempt, failed=False)
@@ -177,15 +187,22 @@
         service = call.configuration.services.get(call.service)
         upstreams = self._parts.view.list_upstreams(call.service)
         now = self._read_clock()
-        pressure = self._parts.loads.measure_pressure(upstreams, now)
-        return self._parts.cascade.choose_next(
+        call.confidence = attempt.note.confidence
+        call.slowdown = self._parts.loads.measure_slowdown(upstreams, now)
+        larger = self._parts.cascade.choose_next(
             call.route,
             service.engine if service else None,
             call.model,
-            attempt.note.confidence,
+            call.confidence,
             call.headers,
-            pressure,
+            call.slowdown,
         )
+        if larger is None:
+            return None
+        # Without budget for it the answer at hand must not be given up.
+        budget = self._parts.budgets.get(call.service)
+        call.paid_ahead = budget.take(keep=KEPT_FOR_FAILURES)
+        return larger if call.paid_ahead else None
 
     def _can_try_again(self, call):
         return (
@@ -194,6 +211,13 @@
             and call.measure_left(self._read_clock()) > MIN_LEFT_S
         )
 
+    def _note_gap(self, call, attempt, seconds):
+        """Learn from the time between two events how busy the engine is."""
+        parts = self._parts
+        slowdown = parts.gaps.note(call.model, seconds)
+        load = parts.loads.get(attempt.upstream)
+        load.note_slowdown(slowdown, self._read_clock())
+
     def _settle(self, call, attempt, failed):
         """Count an answer for its upstream and its version."""
         now = self._read_clock()
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -158,5 +158,7 @@
         "sends": call.sends,
         "events": call.events_sent,
         "session": call.headers.session,
+        "confidence": call.confidence,
+        "slowdown": call.slowdown and round(call.slowdown, 2),
         "reasons": call.reasons,
     }
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -4,7 +4,7 @@
 
 from .._fleet.view import FleetView
 from .._http import UpstreamPool
-from .._placement import CascadePolicy, LoadTable, PaceBook, Placer
+from .._placement import CascadePolicy, GapBook, LoadTable, PaceBook, Placer
 from .._rollout import SessionBook, TallyBook
 from .attempt import AttemptMaker
 from .budgets import BudgetTable
@@ -23,6 +23,7 @@
     pool: UpstreamPool
     loads: LoadTable
     paces: PaceBook
+    gaps: GapBook
     placer: Placer
     cascade: CascadePolicy
     chooser: UpstreamChooser
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -15,13 +15,16 @@
     When a stream breaks off, the next one goes on after the last event that
     was delivered; the caller sees the head of the first one. Nothing is written
     before the first event, so that until then another answer can take its place.
+    *note_gap* is called with the call, the attempt and the seconds between events.
     """
 
-    def __init__(self, call, connection, pass_on, read_clock):
+    def __init__(self, call, connection, pass_on, read_clock, note_gap):
         self._call = call
         self._connection = connection
         self._pass_on = pass_on
         self._read_clock = read_clock
+        self._note_gap = note_gap
+        self._wrote_at = None
         self._stall_s = max(MIN_STALL_S, STALL_FACTOR * call.route.pause_goal_s)
 
     def run(self, attempt):
@@ -31,6 +34,7 @@
         :class:`CallerLeft`; the upstream's connection is then closed.
         """
         splitter = EventSplitter()
+        self._wrote_at = None
         try:
             while part := self._read_part(attempt):
                 self._write(attempt, splitter.feed(part))
@@ -55,6 +59,10 @@
         self._connection.write(data)
         self._call.last_event = last
         self._call.events_sent += len(events)
+        now = self._read_clock()
+        if self._wrote_at is not None:
+            self._note_gap(self._call, attempt, (now - self._wrote_at) / len(events))
+        self._wrote_at = now
 
     def _write_end(self, attempt, rest):
         data = self._encode_head(attempt)
--- a/src/merlinnotch/_http/sockets.py
+++ b/src/merlinnotch/_http/sockets.py
@@ -5,18 +5,23 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+from eventlet.hubs import trampoline
 
 from .._errors import ConnectFailed, ConnectionBroken
 
-UNACKNOWLEDGED_MS = 4000
+UNACKNOWLEDGED_MS = 1200
 """How long sent bytes may stay without acknowledgement before the kernel gives
-the connection up: longer than a burst of lost packets is repaired in, shorter
-than the deadlines of streams."""
+the connection up: lost packets are sent again after 200, 600 and 1,400 ms, and
+a path that loses three in a row is cut more often than not."""
 
 READ_BYTES = 65536
 BACKLOG = 1024
 
 
+class _Silent(Exception):
+    """Nothing came in time."""
+
+
 def tune_socket(sock):
     """Send small writes at once and notice a dead peer."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -41,16 +46,29 @@
 
 
 def receive(sock, timeout_s):
-    """Return the next bytes, b"" at the end; raises :class:`ConnectionBroken`."""
+    """Return the next bytes, b"" at the end; raises :class:`ConnectionBroken`.
+
+    The green socket's own method returns b"" for a reset connection too, which
+    would make a cut answer without length look whole.
+    """
     if timeout_s <= 0:
         raise ConnectionBroken("silent")
-    sock.settimeout(timeout_s)
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            _wait_for_bytes(sock, timeout_s)
+        except OSError as error:
+            raise ConnectionBroken(f"read: {error}") from error
+
+
+def _wait_for_bytes(sock, timeout_s):
     try:
-        return sock.recv(READ_BYTES)
-    except TimeoutError as error:
+        trampoline(sock.fileno(), read=True, timeout=timeout_s, timeout_exc=_Silent)
+    except _Silent as error:
         raise ConnectionBroken("silent") from error
-    except (OSError, EOFError) as error:
-        # EOFError: another green thread closed the socket meanwhile.
+    except (OSError, ValueError) as error:
+        # Another green thread closed the socket meanwhile.
         raise ConnectionBroken(f"read: {error}") from error
 
 
--- a/src/merlinnotch/_limits/budget.py
+++ b/src/merlinnotch/_limits/budget.py
@@ -21,9 +21,9 @@
         """Earn a part of one retry."""
         self._tokens = min(self._tokens + self.ratio, self._most)
 
-    def take(self):
-        """Spend one retry; return whether there was one."""
-        if self._tokens < 1:
+    def take(self, keep=0.0):
+        """Spend one retry and leave *keep*; return whether there was one."""
+        if self._tokens < 1 + keep:
             return False
         self._tokens -= 1
         return True
--- a/src/merlinnotch/_placement/__init__.py
+++ b/src/merlinnotch/_placement/__init__.py
@@ -2,6 +2,7 @@
 
 from .cache import PrefixCache
 from .cascade import CascadePolicy, CascadeSettings
+from .gaps import GapBook
 from .load import UpstreamLoad
 from .loads import LoadTable
 from .pace import PaceBook
@@ -10,6 +11,7 @@
 __all__ = [
     "CascadePolicy",
     "CascadeSettings",
+    "GapBook",
     "LoadTable",
     "PaceBook",
     "Placer",
--- a/src/merlinnotch/_placement/cascade.py
+++ b/src/merlinnotch/_placement/cascade.py
@@ -4,10 +4,9 @@
 
 POOR_CREDIT = 0.05
 """What an answer is worth that its model was too small for, as a share."""
-PRICE_OF_PRESSURE = 3.0
-"""How much dearer a second run is where all slots are taken: it delays others."""
-FREE_PRESSURE = 0.25
-"""Below this share of taken slots a second run delays nobody."""
+FREE_SLOWDOWN = 1.5
+"""Up to this slowdown of the engines' streams a second run delays nobody much:
+prompts are read in between tokens all the time."""
 
 HARD_BELOW = ((20.0, 0.9), (30.0, 0.75), (40.0, 0.6), (50.0, 0.35), (60.0, 0.12))
 """Chance that a request was too hard for the small model, by its confidence."""
@@ -35,11 +34,11 @@
         """Return the model for the first run."""
         return route.models[0]
 
-    def choose_next(self, route, engine, model, confidence, call, pressure):
+    def choose_next(self, route, engine, model, confidence, call, slowdown):
         """Return the model for another run, or None to deliver this answer.
 
         *confidence* is the model's opinion of its answer, None where it gives
-        none; *pressure* is the share of the pool's slots that are taken.
+        none; *slowdown* is how many times slower than unloaded the engines are.
         """
         largest = route.models[-1]
         if model == largest or confidence is None:
@@ -47,7 +46,9 @@
         gain = self._measure_value(route, call) * (1 - POOR_CREDIT)
         gain *= estimate_hard(confidence)
         cost = _measure_cost(engine, largest, call)
-        dearness = 1 + PRICE_OF_PRESSURE * max(0.0, pressure - FREE_PRESSURE)
+        # A run on a busy engine delays all that run there, and the longer each
+        # takes the more of them there are: the price grows with the square.
+        dearness = max(1.0, slowdown / FREE_SLOWDOWN) ** 2
         return largest if gain > cost * dearness else None
 
     def _measure_value(self, route, call):
--- a/src/merlinnotch/_placement/load.py
+++ b/src/merlinnotch/_placement/load.py
@@ -13,6 +13,12 @@
 FAILURE_WEIGHT = 0.34
 """Share of its answers that one failure makes an upstream seem to fail; three
 in a row make it the last choice."""
+SLOWDOWN_HALF_LIFE_S = 2.0
+"""What was seen of an engine's pace counts half after this time: prompts that
+held it up have been read by then."""
+SLOWDOWN_WEIGHT = 0.08
+"""Weight of the newest gap between events; an engine with ten streams shows a
+hundred a second."""
 LATENCY_WEIGHT = 0.2
 """Weight of the newest answer in the mean time of answers."""
 UNREACHABLE_S = 0.5
@@ -28,6 +34,8 @@
     *queued_ms* is how long the prompts of our requests that have no first event
     yet take to be read there. *running* and *waiting* are the
     upstream's own words at *reported_at*, *own_then* our requests at that time.
+    *slowdown* is how many times slower than unloaded its streams went at
+    *paced_at*.
     """
 
     cache: PrefixCache
@@ -41,6 +49,8 @@
     answers: int = 0
     avoided_until: float = -math.inf
     refusals: int = 0
+    slowdown: float = 1.0
+    paced_at: float = -math.inf
     _failing: float = field(default=0.0)
     _failed_at: float = field(default=0.0)
 
@@ -77,6 +87,17 @@
         self.avoided_until = now + pause
         self.note_failure(now)
 
+    def note_slowdown(self, slowdown, now):
+        """Take how many times slower than unloaded a stream went on there."""
+        known = self.measure_slowdown(now)
+        self.slowdown = known + SLOWDOWN_WEIGHT * (slowdown - known)
+        self.paced_at = now
+
+    def measure_slowdown(self, now):
+        """Return how many times slower than unloaded streams are there, from 1."""
+        age = max(0.0, now - self.paced_at)
+        return 1.0 + (self.slowdown - 1.0) * 0.5 ** (age / SLOWDOWN_HALF_LIFE_S)
+
     def measure_failing(self, now):
         """Return the share of answers that seem to fail, from 0 to 1."""
         age = max(0.0, now - self._failed_at)
--- a/src/merlinnotch/_placement/loads.py
+++ b/src/merlinnotch/_placement/loads.py
@@ -30,8 +30,7 @@
         """Forget an upstream that has left."""
         self._loads.pop(upstream_id, None)
 
-    def measure_pressure(self, upstreams, now):
-        """Return how full *upstreams* are on average, 1.0 where all slots run."""
-        slots = sum(u.slots for u in upstreams)
-        busy = sum(self.get(u).estimate_busy(now) for u in upstreams)
-        return busy / slots if slots else 1.0
+    def measure_slowdown(self, upstreams, now):
+        """Return how many times slower than unloaded streams are on average."""
+        factors = [self.get(u).measure_slowdown(now) for u in upstreams]
+        return sum(factors) / len(factors) if factors else 1.0
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -1,5 +1,8 @@
 """Connections to upstreams and the pool that keeps them."""
 
+import socket
+import struct
+
 import eventlet
 import pytest
 
@@ -129,3 +132,23 @@
     connection = UpstreamConnection(start(script).address, read_clock, 1.0)
     assert ask(connection)[1] == b"all of it"
     assert not connection.make_reusable(read_clock())
+
+
+def test_an_answer_without_length_that_is_reset_is_not_whole():
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.recv(1000)
+        sock.sendall(b"HTTP/1.1 200 X\r\n\r\nhalf of")
+        eventlet.sleep(0.05)
+        # Closed at once with a reset, as the kernel does for a process that died.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+    eventlet.spawn(serve)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    connection = UpstreamConnection(address, read_clock, 1.0)
+    with pytest.raises(ConnectionBroken):
+        ask(connection)
+    listener.close()
