Failed connections cost nothing; suspects are probed without callers' requests

Cause: a request that may be sent to one upstream only was refused after a connection that never came about (401 ms, no_upstream, in a cut zone); each unreachable upstream was tried again with callers' requests. Change: only what was sent counts against the route's bound and the retry budget; an unreachable or silent upstream is the last choice until a connection of our own comes about.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -16,6 +16,7 @@
     Forwarder,
     Gateway,
     GatewayParts,
+    Prober,
     UpstreamChooser,
 )
 from .._http import PageServer, UpstreamPool
@@ -38,9 +39,12 @@
 
 logger = logging.getLogger("merlinnotch")
 
-RETRY_RATIO_USED = 0.85
+RETRY_RATIO_USED = 0.92
 """Part of the fleet's retry allowance that instances use: their windows and
 that of the whole do not begin at the same time."""
+SMALLEST_FLEET = 8
+"""Instances among which the retry slack is divided at least; more become known
+as soon as they have announced themselves."""
 SWEEP_S = 1.0
 BALANCER_S = 3.0
 """After this long without readiness the balancer sends no new connections: it
@@ -175,10 +179,11 @@
             cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
             chooser=UpstreamChooser(self.view, versions, placer, self._generator),
             attempts=AttemptMaker(self.pool, self._loads, placer, paces, read_clock),
+            prober=Prober(self.pool, self._loads, self.view),
             budgets=BudgetTable(
                 settings.retries.ratio * RETRY_RATIO_USED,
                 settings.retries.slack * RETRY_RATIO_USED,
-                lambda: max(1, len(self.view.peers)),
+                lambda: max(SMALLEST_FLEET, len(self.view.peers)),
             ),
             sessions=self._sessions,
             tallies=self._book,
--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -6,6 +6,7 @@
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
+from .prober import Prober
 
 __all__ = [
     "AttemptMaker",
@@ -13,5 +14,6 @@
     "Forwarder",
     "Gateway",
     "GatewayParts",
+    "Prober",
     "UpstreamChooser",
 ]
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -6,8 +6,9 @@
 from .._fleet import Upstream
 from ..platform import encode_call, is_not_run, read_answer
 
-CONNECT_S = 0.4
-"""A path that works connects in a few milliseconds."""
+CONNECT_S = 0.25
+"""A path that works connects in a few milliseconds; nothing is lost by trying
+another upstream instead."""
 
 
 class NotRun(TransportError):
@@ -51,6 +52,8 @@
         reading_ms = missing * self._paces.get(work.model) if work.model else 0.0
         connection = self._pool.take(upstream.id, upstream.address, CONNECT_S)
         started_at = self._read_clock()
+        call.sends += 1
+        call.sent_to.add(upstream.id)
         load.queued_ms += reading_ms
         if work.model:
             load.cache.note(work.model, work.prompt)
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -23,7 +23,7 @@
 that one that breaks off never looks whole; plain answers hold some 100 KB."""
 OK = 200
 SERVER_ERROR = 500
-KEPT_FOR_FAILURES = 2.0
+KEPT_FOR_FAILURES = 1.0
 """Retries that larger models leave for requests that fail."""
 MIN_LEFT_S = 0.02
 """With less time left an upstream can't answer any more."""
@@ -62,7 +62,7 @@
         try:
             return self._run(call, connection, upstream, work)
         except ConnectFailed as error:
-            load.note_unreachable(self._read_clock())
+            self._parts.prober.suspect(upstream)
             call.tried.add(upstream.id)
             self._note_retry(call, upstream, "unreachable", error)
         except NotRun as error:
@@ -71,6 +71,7 @@
             self._note_retry(call, upstream, "not run", error)
         except (ConnectionBroken, MalformedMessage) as error:
             now = self._read_clock()
+            self._parts.prober.suspect(upstream)
             if now < call.deadline:
                 load.note_failure(now)
                 self._tally(call, upstream, bad=True)
@@ -107,9 +108,7 @@
 
     def _run(self, call, connection, upstream, work):
         parts = self._parts
-        call.sends += 1
         ran_before = call.may_have_run
-        call.sent_to.add(upstream.id)
         until = limit_wait(
             call,
             self._estimate_wait(upstream, work),
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -9,6 +9,7 @@
 from .attempt import AttemptMaker
 from .budgets import BudgetTable
 from .choice import UpstreamChooser
+from .prober import Prober
 
 
 @dataclass
@@ -28,6 +29,7 @@
     cascade: CascadePolicy
     chooser: UpstreamChooser
     attempts: AttemptMaker
+    prober: Prober
     budgets: BudgetTable
     sessions: SessionBook
     tallies: TallyBook
--- /dev/null
+++ b/src/merlinnotch/_gateway/prober.py
@@ -0,0 +1,60 @@
+"""Finds out whether upstreams can be reached, without a caller's request."""
+
+import logging
+
+import eventlet
+
+from .._errors import ConnectFailed
+
+logger = logging.getLogger("merlinnotch")
+
+CONNECT_S = 0.3
+PAUSE_S = 0.4
+MOST_PAUSE_S = 2.0
+"""Pauses grow by half up to this: a path that healed is in use within seconds,
+and an instance behind a long cut makes few connections."""
+
+
+class Prober:
+    """Connects to suspected upstreams until a connection comes about.
+
+    Meanwhile they are the last choice. A request that has to find out by itself
+    waits for its connection in vain, longer than a plain answer takes.
+    """
+
+    def __init__(self, pool, loads, view):
+        self._pool = pool
+        self._loads = loads
+        self._view = view
+        self._suspects = set()
+
+    def suspect(self, upstream):
+        """Leave *upstream* alone until it has been connected to."""
+        if upstream.id in self._suspects:
+            return
+        self._suspects.add(upstream.id)
+        self._loads.get(upstream).reachable = False
+        eventlet.spawn_n(self._probe, upstream)
+
+    def _probe(self, upstream):
+        pause_s = PAUSE_S
+        try:
+            while self._view.find_upstream(upstream.id) is not None:
+                if self._connect(upstream):
+                    self._loads.get(upstream).reachable = True
+                    logger.info("upstream reached", extra={"upstream": upstream.id})
+                    return
+                eventlet.sleep(pause_s)
+                pause_s = min(pause_s * 1.5, MOST_PAUSE_S)
+        finally:
+            self._suspects.discard(upstream.id)
+
+    def _connect(self, upstream):
+        try:
+            connection = self._pool.take(
+                upstream.id, upstream.address, CONNECT_S, fresh=True
+            )
+        except ConnectFailed:
+            return False
+        self._pool.give_back(upstream.id, connection)
+        return True
--- a/src/merlinnotch/_http/pool.py
+++ b/src/merlinnotch/_http/pool.py
@@ -25,7 +25,7 @@
     def take(self, upstream_id, address, connect_s, fresh=False):
         """Return a connection; raises :class:`ConnectFailed`.
 
-        With *fresh* an idle one is left alone.
+        With *fresh* it is a new one.
         """
         idle = self._idle.get((upstream_id, address), [])
         while idle and not fresh:
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -96,6 +96,9 @@
         """Prepare for the next exchange; return whether there can be one."""
         if self._closing or (self._sender is not None and not self._sender.dead):
             return False
+        if self.uses == 0:
+            self.idle_since = now
+            return True
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE or self._http.trailing_data[0]:
--- a/src/merlinnotch/_placement/load.py
+++ b/src/merlinnotch/_placement/load.py
@@ -21,10 +21,6 @@
 hundred a second."""
 LATENCY_WEIGHT = 0.2
 """Weight of the newest answer in the mean time of answers."""
-UNREACHABLE_S = 0.5
-"""How long an upstream that refused a connection is left alone, doubled with
-each further one up to the limit."""
-UNREACHABLE_MOST_S = 4.0
 
 
 @dataclass
@@ -34,6 +30,7 @@
     *queued_ms* is how long the prompts of our requests that have no first event
     yet take to be read there. *running* and *waiting* are the
     upstream's own words at *reported_at*, *own_then* our requests at that time.
+    *reachable* is false from a failed connection until one comes about.
     *slowdown* is how many times slower than unloaded its streams went at
     *paced_at*.
     """
@@ -47,8 +44,7 @@
     reported_at: float = -math.inf
     latency_s: float = 0.0
     answers: int = 0
-    avoided_until: float = -math.inf
-    refusals: int = 0
+    reachable: bool = True
     slowdown: float = 1.0
     paced_at: float = -math.inf
     _failing: float = field(default=0.0)
@@ -64,7 +60,6 @@
     def note_answer(self, seconds):
         """Count an answer that took *seconds*."""
         self.answers += 1
-        self.refusals = 0
         if self.answers == 1:
             self.latency_s = seconds
         else:
@@ -80,13 +75,6 @@
         self._decay(now)
         self._failing += FAILURE_WEIGHT * (1 - self._failing)
 
-    def note_unreachable(self, now):
-        """No connection came about; leave it alone for a while."""
-        pause = min(UNREACHABLE_S * 2**self.refusals, UNREACHABLE_MOST_S)
-        self.refusals += 1
-        self.avoided_until = now + pause
-        self.note_failure(now)
-
     def note_slowdown(self, slowdown, now):
         """Take how many times slower than unloaded a stream went on there."""
         known = self.measure_slowdown(now)
--- a/src/merlinnotch/_placement/loads.py
+++ b/src/merlinnotch/_placement/loads.py
@@ -30,7 +30,15 @@
         """Forget an upstream that has left."""
         self._loads.pop(upstream_id, None)
 
+    def list_reachable(self, upstreams):
+        """Return those of *upstreams* that can be connected to, as far as known."""
+        return [u for u in upstreams if self.get(u).reachable]
+
     def measure_slowdown(self, upstreams, now):
-        """Return how many times slower than unloaded streams are on average."""
-        factors = [self.get(u).measure_slowdown(now) for u in upstreams]
+        """Return how many times slower than unloaded streams are on average.
+
+        Upstreams behind a cut are left out: nothing can be placed there.
+        """
+        reachable = self.list_reachable(upstreams)
+        factors = [self.get(u).measure_slowdown(now) for u in reachable]
         return sum(factors) / len(factors) if factors else 1.0
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -46,9 +46,7 @@
         """Return the best of *candidates*, or None where there is none."""
         if not candidates:
             return None
-        reachable = [
-            u for u in candidates if self._loads.get(u).avoided_until <= now
-        ] or candidates
+        reachable = self._loads.list_reachable(candidates) or candidates
         if work.model is None:
             return min(reachable, key=lambda u: self._rate_plain(u, now))
         home = _find_home(reachable, work.home_key)
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -19,12 +19,12 @@
     before the script ended.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, address="127.0.0.1:0"):
         self.script = script
         self.requests = []
         self.connections = 0
         self.left = 0
-        self._listener = Listener("127.0.0.1:0", self._serve)
+        self._listener = Listener(address, self._serve)
         self.address = self._listener.address
 
     def close(self):
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -4,6 +4,7 @@
 import pytest
 
 from standins.platform_upstream import (
+    StandInUpstream,
     answer,
     hang,
     make_answer,
@@ -228,6 +229,25 @@
         assert caller.send(ONCE, "POST", b"x").status == 200
 
 
+def test_a_request_that_never_left_is_tried_anywhere(world, caller):
+    # The route allows three upstreams; those that refuse connections don't count.
+    for number in range(5):
+        world.add_upstream(f"i-{number}").close()
+    world.add_upstream("i-9")
+    assert caller.send(ONCE, "POST", b"x").status == 200
+
+
+def test_an_upstream_is_used_again_once_it_can_be_reached(world, caller):
+    upstream = world.add_upstream("i-1")
+    address = upstream.address
+    upstream.close()
+    assert caller.send(PLAIN).status == 503
+    again = StandInUpstream(answer(), address)
+    wait_until(lambda: again.connections)
+    assert caller.send(PLAIN).status == 200
+    again.close()
+
+
 def test_a_request_waits_no_longer_than_its_caller(world, caller):
     world.add_upstream("i-1", hang)
     with eventlet.Timeout(1.0):
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -92,13 +92,21 @@
     assert placer.pick(group, Work(), 60.0) is group[0]
 
 
-def test_an_unreachable_upstream_is_left_alone_for_a_while(placer, loads):
+def test_an_unreachable_upstream_is_left_alone_where_there_is_another(placer, loads):
     group = [upstream("u1"), upstream("u2")]
-    loads.get(group[0]).note_unreachable(0.0)
+    loads.get(group[0]).reachable = False
     assert {placer.pick(group, Work(), 0.2).id for _ in range(5)} == {"u2"}
     assert placer.pick(group[:1], Work(), 0.2) is group[0]
 
 
+def test_the_slowdown_of_upstreams_behind_a_cut_does_not_count(loads):
+    group = [upstream("u1"), upstream("u2")]
+    loads.get(group[0]).note_slowdown(30.0, 0.0)
+    mixed = loads.measure_slowdown(group, 0.0)
+    loads.get(group[1]).reachable = False
+    assert loads.measure_slowdown(group, 0.0) > mixed
+
+
 def test_plain_requests_spread_by_load(placer, loads):
     group = [upstream("u1", slots=6), upstream("u2", slots=6)]
     for u in group:
