--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -35,6 +35,7 @@
 from .conductor import Conductor
 from .follower import Follower
 from .metrics import EntryMetrics
+from .news import WorkNews
 from .peers import PeerClient, PeerPages
 
 logger = logging.getLogger("merlinnotch")
@@ -72,6 +73,9 @@
         self._store = self._build_store(settings.store)
         name = settings.instance.name
         self._peers = PeerClient(name, self.view, read_clock, self.metrics)
+        self.news = WorkNews(
+            settings.instance.peer_address, name, self.view, self._note_work
+        )
         self.follower = Follower(
             self._store,
             self.mirror,
@@ -118,6 +122,7 @@
             self.follower.run,
             self._announcer.run,
             self._conductor.run,
+            self.news.run,
             self._sweep,
         ):
             self._tasks.append(eventlet.spawn(_run_forever, task))
@@ -145,7 +150,7 @@
         """End all tasks and listeners at once, whatever is in progress."""
         for task in self._tasks:
             task.kill()
-        for server in [*self._servers, self.gateway]:
+        for server in [*self._servers, self.news, self.gateway]:
             server.close()
         self.gateway.close_idle()
 
@@ -180,7 +185,9 @@
             placer=placer,
             cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
             chooser=UpstreamChooser(self.view, versions, placer, self._generator),
-            attempts=AttemptMaker(self.pool, self._loads, placer, paces, read_clock),
+            attempts=AttemptMaker(
+                self.pool, self._loads, placer, paces, read_clock, self.news.tell
+            ),
             prober=Prober(self.pool, self._loads, self.view),
             budgets=BudgetTable(
                 settings.retries.ratio * RETRY_RATIO_USED,
@@ -198,6 +205,16 @@
         service = configuration.services.get(service_name) if configuration else None
         return service.engine if service else None
 
+    def measure_backlog(self, upstream_id):
+        """Return the milliseconds of reading that wait at an upstream."""
+        upstream = self.view.find_upstream(upstream_id)
+        return self._loads.get(upstream).backlog.measure(read_clock())
+
+    def _note_work(self, upstream_id, reading_ms):
+        upstream = self.view.find_upstream(upstream_id)
+        if upstream is not None:
+            self._loads.get(upstream).backlog.note(reading_ms, read_clock())
+
     def _drop_upstream(self, upstream_id):
         self.pool.drop(upstream_id)
         self._loads.drop(upstream_id)
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -33,14 +33,19 @@
 
 
 class AttemptMaker:
-    """Sends a call to an upstream and reads the head of the answer."""
+    """Sends a call to an upstream and reads the head of the answer.
 
-    def __init__(self, pool, loads, placer, paces, read_clock):
+    *tell_work* is called with the upstream's id and the milliseconds that its
+    prompt takes to read.
+    """
+
+    def __init__(self, pool, loads, placer, paces, read_clock, tell_work):
         self._pool = pool
         self._loads = loads
         self._placer = placer
         self._paces = paces
         self._read_clock = read_clock
+        self._tell_work = tell_work
 
     def make(self, call, upstream, work, until):
         """Return an :class:`Attempt`.
@@ -55,9 +60,10 @@
         started_at = self._read_clock()
         call.sends += 1
         call.sent_to.add(upstream.id)
-        load.queued_ms += reading_ms
         if work.model:
             load.cache.note(work.model, work.prompt)
+            load.backlog.note(reading_ms, started_at)
+            self._tell_work(upstream.id, reading_ms)
         call.may_have_run = True
         try:
             urgency = choose_urgency(reading_ms) if work.model else None
@@ -65,8 +71,6 @@
         except BaseException:
             connection.close()
             raise
-        finally:
-            load.queued_ms -= reading_ms
         return self._judge_head(
             call, upstream, connection, head, started_at, missing, work
         )
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -37,6 +37,9 @@
     last_event: int | None = None
     events_sent: int = 0
     upstream_id: str | None = None
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause_s: float = 0.0
     confidence: float | None = None
     slowdown: float | None = None
 
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -134,7 +134,7 @@
             return 0.0
         parts = self._parts
         missing = parts.placer.count_missing(upstream, work)
-        queued_ms = parts.loads.get(upstream).queued_ms
+        queued_ms = parts.loads.get(upstream).backlog.measure(self._read_clock())
         return (missing * parts.paces.get(work.model) + queued_ms) / 1000.0
 
     def _deliver(self, call, connection, attempt):
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -159,8 +159,14 @@
         "model": call.model,
         "sends": call.sends,
         "events": call.events_sent,
+        "first_event_ms": _measure_ms(call.arrived_at, call.first_event_at),
+        "longest_pause_ms": round(call.longest_pause_s * 1000.0, 1),
         "session": call.headers.session,
         "confidence": call.confidence,
         "slowdown": call.slowdown and round(call.slowdown, 2),
         "reasons": call.reasons,
     }
+
+
+def _measure_ms(start, end):
+    return None if end is None else round((end - start) * 1000.0, 1)
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -60,8 +60,18 @@
         self._call.last_event = last
         self._call.events_sent += len(events)
         now = self._read_clock()
+        self._note_times(attempt, len(events), now)
+
+    def _note_times(self, attempt, count, now):
+        call = self._call
+        if call.first_event_at is None:
+            call.first_event_at = now
+        else:
+            pause_s = now - call.last_event_at
+            call.longest_pause_s = max(call.longest_pause_s, pause_s)
+        call.last_event_at = now
         if self._wrote_at is not None:
-            self._note_gap(self._call, attempt, (now - self._wrote_at) / len(events))
+            self._note_gap(call, attempt, (now - self._wrote_at) / count)
         self._wrote_at = now
 
     def _write_end(self, attempt, rest):
--- a/src/merlinnotch/_placement/load.py
+++ b/src/merlinnotch/_placement/load.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from .backlog import Backlog
 from .cache import PrefixCache
 
 REPORT_HALF_LIFE_S = 1.0
@@ -27,9 +28,9 @@
 class UpstreamLoad:
     """What one instance knows of one upstream. Times in seconds.
 
-    *queued_ms* is how long the prompts of our requests that have no first event
-    yet take to be read there. *running* and *waiting* are the
-    upstream's own words at *reported_at*, *own_then* our requests at that time.
+    *backlog* are the prompts that all instances sent there to be read. *running*
+    and *waiting* are the upstream's own words at *reported_at*, *own_then* our
+    requests at that time.
     *reachable* is false from a failed connection until one comes about.
     *slowdown* is how many times slower than unloaded its streams went at
     *paced_at*.
@@ -37,7 +38,7 @@
 
     cache: PrefixCache
     in_flight: int = 0
-    queued_ms: float = 0.0
+    backlog: Backlog = field(default_factory=Backlog)
     running: int = 0
     waiting: int = 0
     own_then: int = 0
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -73,7 +73,7 @@
     def _rate_engine(self, upstream, work, home, now):
         load = self._loads.get(upstream)
         missing = self.count_missing(upstream, work, home)
-        reading = missing * self._paces.get(work.model) + load.queued_ms
+        reading = missing * self._paces.get(work.model) + load.backlog.measure(now)
         batch = load.estimate_busy(now) * STEP_MS_PER_REQUEST
         waiting = load.waiting * STEP_MS_PER_REQUEST
         failing = FAILURE_MS * load.measure_failing(now)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -12,6 +12,7 @@
     PrefixCache,
     Work,
 )
+from merlinnotch._placement.backlog import Backlog
 from merlinnotch.platform.headers import CallHeaders, PromptPart
 
 ENGINE = Engine(64, 500_000, 6, {"small": 0.018, "large": 0.27})
@@ -79,11 +80,20 @@
 
 def test_a_short_prompt_avoids_an_upstream_that_reads_a_long_one(placer, loads):
     group = [upstream("u1"), upstream("u2")]
-    loads.get(group[0]).queued_ms = 800.0
+    loads.get(group[0]).backlog.note(800.0, 0.0)
     work = Work(prompt(("own", 300)), "small")
     assert placer.pick(group, work, 0.0) is group[1]
 
 
+def test_a_backlog_is_worked_off_with_time():
+    backlog = Backlog()
+    backlog.note(500.0, 10.0)
+    backlog.note(500.0, 10.2)
+    assert backlog.measure(10.2) == pytest.approx(800.0)
+    assert backlog.measure(10.6) == pytest.approx(400.0)
+    assert backlog.measure(12.0) == 0.0
+
+
 def test_a_failing_upstream_is_the_last_choice_and_comes_back(placer, loads):
     group = [upstream("u1"), upstream("u2", zone="b")]
     for _ in range(3):
