Second runs priced by the reading time they take from others

Change: gain must exceed the cost and 0.003 a millisecond of reading for each unit of slowdown beyond 1.5.

--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -10,7 +10,7 @@
     Outcome,
     RequestRefused,
 )
-from .._placement import Work
+from .._placement import PoolLoad, Work
 from .._rollout import TallyKey
 from .attempt import NotRun
 from .patience import limit_wait
@@ -194,7 +194,7 @@
             call.model,
             call.confidence,
             call.headers,
-            call.slowdown,
+            PoolLoad(call.slowdown, self._estimate_reading(call)),
         )
         if larger is None:
             return None
@@ -203,6 +203,11 @@
         call.paid_ahead = budget.take(keep=KEPT_FOR_FAILURES)
         return larger if call.paid_ahead else None
 
+    def _estimate_reading(self, call):
+        """Return the milliseconds in which the largest model reads the prompt."""
+        pace = self._parts.paces.get(call.route.models[-1])
+        return pace * call.headers.tokens_in
+
     def _can_try_again(self, call):
         return (
             call.may_run_again
--- a/src/merlinnotch/_placement/__init__.py
+++ b/src/merlinnotch/_placement/__init__.py
@@ -1,7 +1,7 @@
 """Where a request runs and on which model."""
 
 from .cache import PrefixCache
-from .cascade import CascadePolicy, CascadeSettings
+from .cascade import CascadePolicy, CascadeSettings, PoolLoad
 from .gaps import GapBook
 from .load import UpstreamLoad
 from .loads import LoadTable
@@ -16,6 +16,7 @@
     "LoadTable",
     "PaceBook",
     "Placer",
+    "PoolLoad",
     "PrefixCache",
     "UpstreamLoad",
     "Work",
--- a/src/merlinnotch/_placement/cascade.py
+++ b/src/merlinnotch/_placement/cascade.py
@@ -7,6 +7,11 @@
 FREE_SLOWDOWN = 1.5
 """Up to this slowdown of the engines' streams a second run delays nobody much:
 prompts are read in between tokens all the time."""
+PRICE_PER_MS = 0.003
+"""What a millisecond of reading costs the others, in the unit of the models'
+costs, for each unit of slowdown beyond the free one. Set so that short and cheap
+kinds give up their second runs first, at a slowdown of 2 to 3, and long valuable
+ones at 3 to 5."""
 
 HARD_BELOW = ((20.0, 0.97), (30.0, 0.9), (40.0, 0.65), (50.0, 0.45), (60.0, 0.12))
 """Chance that a request was too hard for the small model, by its confidence.
@@ -26,6 +31,18 @@
     value: float = 0.3
 
 
+@dataclass(frozen=True)
+class PoolLoad:
+    """How busy the engines are and what another run would add.
+
+    *slowdown* is how many times slower than unloaded their streams are,
+    *reading_ms* how long the largest model would read the prompt.
+    """
+
+    slowdown: float
+    reading_ms: float
+
+
 class CascadePolicy:
     """Buys a second run where its expected gain exceeds its cost."""
 
@@ -36,11 +53,11 @@
         """Return the model for the first run."""
         return route.models[0]
 
-    def choose_next(self, route, engine, model, confidence, call, slowdown):
+    def choose_next(self, route, engine, model, confidence, call, load):
         """Return the model for another run, or None to deliver this answer.
 
         *confidence* is the model's opinion of its answer, None where it gives
-        none; *slowdown* is how many times slower than unloaded the engines are.
+        none; *load* is a :class:`PoolLoad`.
         """
         largest = route.models[-1]
         if model == largest or confidence is None:
@@ -48,10 +65,8 @@
         gain = self._measure_value(route, call) * (1 - POOR_CREDIT)
         gain *= estimate_hard(confidence)
         cost = _measure_cost(engine, largest, call)
-        # A run on a busy engine delays all that run there, and the longer each
-        # takes the more of them there are: the price grows with the square.
-        dearness = max(1.0, slowdown / FREE_SLOWDOWN) ** 2
-        return largest if gain > cost * dearness else None
+        delay = PRICE_PER_MS * max(0.0, load.slowdown - FREE_SLOWDOWN)
+        return largest if gain > cost + delay * load.reading_ms else None
 
     def _measure_value(self, route, call):
         size = call.tokens_in + 10 * call.tokens_out
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -9,6 +9,7 @@
     LoadTable,
     PaceBook,
     Placer,
+    PoolLoad,
     PrefixCache,
     Work,
 )
@@ -152,9 +153,10 @@
     return CallHeaders("a", None, 20.0, None, (), tokens_in, tokens_out, None, None)
 
 
-def ask(confidence, slowdown=1.0, model="small", **changes):
+def ask(confidence, slowdown=1.0, model="small", reading_ms=100.0, **changes):
+    load = PoolLoad(slowdown, reading_ms)
     return CascadePolicy().choose_next(
-        route(), ENGINE, model, confidence, call(**changes), slowdown
+        route(), ENGINE, model, confidence, call(**changes), load
     )
 
 
@@ -178,6 +180,11 @@
     assert ask(10.0, slowdown=12.0) is None
 
 
+def test_on_busy_engines_prompts_that_are_read_soon_are_asked_again_longer():
+    assert ask(10.0, slowdown=4.0, reading_ms=20.0) == "large"
+    assert ask(10.0, slowdown=4.0, reading_ms=400.0) is None
+
+
 def test_the_slowdown_of_an_engine_is_seen_in_its_gaps(loads):
     gaps = GapBook()
     load = loads.get(upstream("u1"))
