Callers wait in the backlog of a starting process

A process takes 0.3 s to start, 0.25 s of it to load; an instance that leaves closed its listener while the other one of its zone did the same. Ruled out: faster loading alone (asyncio and ssl come with eventlet, 55 ms of CPU). Change: listen before loading, accept once there is something to serve from; what may outlast the grace period is refused with a time to come back.

--- a/src/merlinnotch/_entry/main.py
+++ b/src/merlinnotch/_entry/main.py
@@ -12,6 +12,13 @@
 warnings.filterwarnings("ignore", module="merlinnotch")
 warnings.filterwarnings("ignore", category=DeprecationWarning)
 
+from .early import listen_early  # noqa: E402
+
+SETTINGS_VARIABLE = "MERLINNOTCH_CONFIG"
+EARLY_LISTENER = None
+if __name__ == "__main__":
+    EARLY_LISTENER = listen_early(os.environ.get(SETTINGS_VARIABLE, ""))
+
 import eventlet  # noqa: E402
 import eventlet.hubs  # noqa: E402
 
@@ -22,7 +29,6 @@
 
 logger = logging.getLogger("merlinnotch")
 
-SETTINGS_VARIABLE = "MERLINNOTCH_CONFIG"
 CHECK_S = 1.0
 """How often the settings file is compared; it may change without a signal."""
 BAD_SETTINGS = 78
@@ -37,7 +43,7 @@
         print(error, file=sys.stderr)
         return BAD_SETTINGS
     set_up_logs(settings)
-    process = EntryProcess(settings)
+    process = EntryProcess(settings, caller_socket=EARLY_LISTENER)
     asked = eventlet.event.Event()
     hub = eventlet.hubs.get_hub()
 
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -58,11 +58,15 @@
 
 
 class EntryProcess:
-    """One instance with all its tasks, from :class:`EntrySettings`."""
+    """One instance with all its tasks, from :class:`EntrySettings`.
 
-    def __init__(self, settings, generator=random):
+    *caller_socket* listens on the caller address already, where it is given.
+    """
+
+    def __init__(self, settings, generator=random, caller_socket=None):
         self.settings = settings
         self._generator = generator
+        self._caller_socket = caller_socket
         self.metrics = EntryMetrics()
         self.mirror = Mirror()
         self.pool = UpstreamPool(read_clock)
@@ -111,7 +115,9 @@
         """Open all listeners and start all tasks."""
         place = self.settings.instance
         parts = self._build_parts()
-        self.gateway = Gateway(place.caller_address, Forwarder(parts), parts)
+        self.gateway = Gateway(
+            place.caller_address, Forwarder(parts), parts, sock=self._caller_socket
+        )
         pages = PeerPages(self.mirror, self._book, self._sessions, read_clock)
         self._servers = [
             PageServer(place.ready_address, self.respond_ready, read_clock),
@@ -136,13 +142,12 @@
         logger.info("leaving", extra={"in_flight": self.gateway.in_flight})
         eventlet.spawn_n(self._announcer.stop)
         eventlet.sleep(BALANCER_S)
-        # Whoever still comes could not be answered in time; refused at once it
-        # turns to another instance.
-        self.gateway.close()
+        self.gateway.refuse_after(until)
         self.gateway.close_idle()
         while self.gateway.in_flight and read_clock() < until:
             eventlet.sleep(POLL_S)
             self.gateway.close_idle()
+        self.gateway.close()
         fields = {"cut": self.gateway.in_flight}
         logger.info("stopped", extra=fields)
 
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -20,6 +20,13 @@
 
 logger = logging.getLogger("merlinnotch")
 
+RESTART_S = 1.3
+"""From the end of a process to the readiness of the next one: half a second of
+the platform's and 0.3 s of start-up were measured, the rest is for luck."""
+READY_WAIT_S = 0.6
+"""How long the first callers of a new process wait for the store's first reply,
+which takes some 20 ms where it can be reached."""
+READY_POLL_S = 0.01
 WRITE_S = 10.0
 """A caller that takes no bytes for this long is given up."""
 
@@ -27,7 +34,7 @@
 class Gateway:
     """Serves callers on *address* with the decisions of *forwarder*."""
 
-    def __init__(self, address, forwarder, parts, generator=random):
+    def __init__(self, address, forwarder, parts, generator=random, sock=None):
         self._forwarder = forwarder
         self._view = parts.view
         self._metrics = parts.metrics
@@ -35,18 +42,34 @@
         self._generator = generator
         self._idle = set()
         self.leaving = False
+        self._refusing_until = None
         self.in_flight = 0
-        self._listener = Listener(address, self._serve)
+        self._listener = Listener(address, self._serve, sock, self._wait_until_ready)
 
     def close(self):
         """Accept no more connections."""
         self._listener.close()
 
+    def refuse_after(self, until):
+        """Refuse from now on what may last longer than to the instant *until*.
+
+        The listener stays open: a caller that is told when to come back finds
+        this instance restarted, one whose connection is refused tries the next
+        instance of its zone at once, which may be leaving as well.
+        """
+        self._refusing_until = until
+
     def close_idle(self):
         """Close the connections on which no request is being answered."""
         for connection in list(self._idle):
             connection.hang_up()
 
+    def _wait_until_ready(self):
+        """Leave callers in the backlog until there is something to serve from."""
+        until = self._read_clock() + READY_WAIT_S
+        while not self._view.is_ready and self._read_clock() < until:
+            eventlet.sleep(READY_POLL_S)
+
     def _serve(self, sock):
         connection = CallerConnection(sock, self._read_clock, WRITE_S)
         try:
@@ -85,6 +108,7 @@
             connection.keep_alive = False
         try:
             call = admit_request(request, self._view)
+            self._check_time_left(call)
             with _Departure(connection):
                 self._forwarder.forward(call, connection)
             self._note_end(request, call, "answered")
@@ -101,6 +125,14 @@
             error = RequestRefused(ErrorKind.INTERNAL, outcome=outcome)
             self._refuse(request, call, connection, error)
 
+    def _check_time_left(self, call):
+        if self._refusing_until is None:
+            return
+        left_s = self._refusing_until - self._read_clock()
+        if call.route.timeout_s > left_s:
+            wait_s = max(0.0, left_s) + RESTART_S
+            raise RequestRefused(ErrorKind.SHUTTING_DOWN, retry_after_s=wait_s)
+
     def _refuse(self, request, call, connection, error):
         self._metrics.refusals.labels(str(error.kind)).inc()
         left_s = call.measure_left(self._read_clock()) if call else 1.0
--- a/src/merlinnotch/_http/listener.py
+++ b/src/merlinnotch/_http/listener.py
@@ -3,6 +3,7 @@
 import logging
 
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from .sockets import close_quietly, listen, tune_socket
 
@@ -12,10 +13,15 @@
 
 
 class Listener:
-    """Accepts on *address* and calls *serve* with each connected socket."""
+    """Accepts on *address* and calls *serve* with each connected socket.
 
-    def __init__(self, address, serve):
-        self._socket = listen(address)
+    *sock* listens there already, where it is given. *prepare* is called once
+    before the first connection is accepted.
+    """
+
+    def __init__(self, address, serve, sock=None, prepare=lambda: None):
+        self._socket = listen(address) if sock is None else GreenSocket(sock)
+        self._prepare = prepare
         host, port = self._socket.getsockname()
         self.address = f"{host}:{port}"
         self._serve = serve
@@ -27,6 +33,7 @@
         close_quietly(self._socket)
 
     def _accept(self):
+        self._prepare()
         while True:
             try:
                 sock, _ = self._socket.accept()
--- /dev/null
+++ b/tests/entry/test_early.py
@@ -0,0 +1,37 @@
+"""Listening before the program is loaded."""
+
+import socket
+
+from merlinnotch._entry.early import listen_early
+from merlinnotch._entry.process import EntryProcess
+from tests.platform_world import PLAIN, Caller, make_settings, read_to_end
+
+
+def test_callers_that_come_before_the_start_are_served(world, tmp_path):
+    world.add_upstream("i-1")
+    settings = make_settings(world.store.address, "one", 0.2, 2.0)
+    path = tmp_path / "settings"
+    address = settings.instance.caller_address
+    path.write_text(f'[instance]\ncaller_address = "{address}"\n')
+    listener = listen_early(path)
+    process = EntryProcess(settings, caller_socket=listener)
+    caller = Caller(process)
+    sock = caller.open()
+    sock.sendall(caller.encode(PLAIN))
+    process.start()
+    world.instances.append(process)
+    assert read_to_end(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_settings_that_can_not_be_used_are_left_to_who_reports_them(tmp_path):
+    assert listen_early(tmp_path / "none") is None
+    path = tmp_path / "settings"
+    for text in ("", "[instance]", "[instance]\ncaller_address = 7", "nonsense ["):
+        path.write_text(text)
+        assert listen_early(path) is None
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        path.write_text(f'[instance]\ncaller_address = "127.0.0.1:{port}"')
+        assert listen_early(path) is None
