One room of 35 modules becomes six packages by job

The callers' side, the upstreams' side, links to peers, the ledger's tasks, control and what puts an instance together. Modules moved, imports followed; no behaviour changed.

--- /dev/null
+++ b/src/merlinnotch/_bookkeeping/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger's tasks: claims, bills and who runs what."""
--- a/src/merlinnotch/_daemon/ledger.py
+++ b/src/merlinnotch/_bookkeeping/ledger.py
@@ -3,8 +3,8 @@
 import time
 
 from .._ledger import ClaimStatus, Query, bucket_of
+from .._links.link import PeerUnreachable
 from .._peers import BeginReply, BeginRequest, RecordReply, RecordRequest, rank
-from .link import PeerUnreachable
 from .registry import RunRegistry
 from .writer import BucketWriter
 
--- a/src/merlinnotch/_daemon/outbox.py
+++ b/src/merlinnotch/_bookkeeping/outbox.py
@@ -6,11 +6,11 @@
 import eventlet
 from eventlet.event import Event
 
+from .._daemon.task import Task
 from .._errors import ErrorKind, RequestRefused
 from .._ledger import Bill, ClaimStatus, bucket_of
+from .._links.link import PeerUnreachable
 from .._peers import DropCopies, KeepCopies
-from .link import PeerUnreachable
-from .task import Task
 
 MAX_UNPOSTED = 50_000
 COPY_TIMEOUT_S = 0.25
--- /dev/null
+++ b/src/merlinnotch/_callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: requests for models and services, answered once."""
--- a/src/merlinnotch/_daemon/chat.py
+++ b/src/merlinnotch/_callers/chat.py
@@ -9,10 +9,10 @@
 from .._ledger import Bill
 from .._peers import Tally
 from .._routing import Planner, VersionPicker
-from .attempts import Attempts
+from .._upstreams.attempts import Attempts
+from .._upstreams.failure import AttemptFailed, FailureReason
 from .board import KeptAnswer
 from .completion import CompletionBuilder, get_text, split_into_events
-from .failure import AttemptFailed, FailureReason
 
 MICROS = 1_000_000
 TOKENS_PER_PRICE = 1000
--- a/src/merlinnotch/_daemon/dedup.py
+++ b/src/merlinnotch/_callers/dedup.py
@@ -4,10 +4,10 @@
 
 from .._errors import ErrorKind, Outcome, RequestRefused
 from .._ledger import ClaimStatus
+from .._links.link import PeerUnreachable
 from .._peers import AnswerReply, FetchAnswer
-from .attempts import ClaimLost
+from .._upstreams.attempts import ClaimLost
 from .board import KeptAnswer
-from .link import PeerUnreachable
 
 QUERY_TIMEOUT_S = 1.0
 FETCH_GRACE_S = 0.5
--- a/src/merlinnotch/_daemon/services.py
+++ b/src/merlinnotch/_callers/services.py
@@ -3,9 +3,9 @@
 import time
 
 from .._ledger import Bill
-from .attempts import Attempts
+from .._upstreams.attempts import Attempts
+from .._upstreams.failure import AttemptFailed
 from .board import KeptAnswer
-from .failure import AttemptFailed
 
 MICROS = 1_000_000
 DEFAULT_PRIORITY = 5
--- /dev/null
+++ b/src/merlinnotch/_control/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that keep revisions, quarantines and orders in force."""
--- a/src/merlinnotch/_daemon/configurer.py
+++ b/src/merlinnotch/_control/configurer.py
@@ -5,10 +5,10 @@
 
 from .._config import Revision, RevisionTracker
 from .._config.tracker import Offer
+from .._daemon.task import Task
 from .._errors import StoreConflict, StoreError
 from .._peers import Quarantine
 from .._store.keys import LIVE_PREFIX, QUARANTINE_PREFIX, REVISION_KEY
-from .task import Task
 
 logger = logging.getLogger("merlinnotch")
 
--- a/src/merlinnotch/_daemon/guardian.py
+++ b/src/merlinnotch/_control/guardian.py
@@ -4,14 +4,14 @@
 import time
 
 from .._config import VersionState
+from .._daemon.task import Task
 from .._errors import StoreConflict
+from .._links.gossiper import QUARANTINE
+from .._links.tallies import sum_by_version
 from .._peers import Quarantine
 from .._routing import VersionGuard
 from .._store import ABSENT
 from .._store.keys import QUARANTINE_PREFIX
-from .gossiper import QUARANTINE
-from .tallies import sum_by_version
-from .task import Task
 
 logger = logging.getLogger("merlinnotch")
 
--- a/src/merlinnotch/_daemon/orderer.py
+++ b/src/merlinnotch/_control/orderer.py
@@ -6,12 +6,12 @@
 
 import urllib3
 
+from .._daemon.task import Task
 from .._errors import StoreConflict
 from .._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
 from .._peers import rank_first
 from .._store import ABSENT
 from .._store.keys import ORDERS_PREFIX
-from .task import Task
 
 logger = logging.getLogger("merlinnotch")
 
--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -8,33 +8,33 @@
 import eventlet.wsgi
 from prometheus_client import generate_latest
 
+from .._bookkeeping.ledger import Ledger
+from .._bookkeeping.outbox import Outbox
+from .._callers.app import CallerApp
+from .._callers.board import AnswerBoard
+from .._callers.chat import ChatAnswerer
+from .._callers.dedup import Deduplicator
+from .._callers.parsing import CallParser
+from .._callers.services import ServiceAnswerer
+from .._control.configurer import Configurer
+from .._control.guardian import Guardian
+from .._control.orderer import Orderer
 from .._limits import RetryBudget
+from .._links.gossiper import Gossiper
+from .._links.peers import Peers
+from .._links.status import StatusReporter
+from .._links.tallies import Tallies
 from .._routing import QualityBook, UpstreamTable
 from .._sessions import SessionSigner
 from .._store import HttpStore
-from .admission import Admission
-from .app import CallerApp
-from .board import AnswerBoard
-from .chat import ChatAnswerer
-from .client import UpstreamClient
-from .configurer import Configurer
-from .dedup import Deduplicator
-from .directory import Directory
-from .gossiper import Gossiper
-from .guardian import Guardian
-from .ledger import Ledger
+from .._upstreams.admission import Admission
+from .._upstreams.client import UpstreamClient
+from .._upstreams.directory import Directory
+from .._upstreams.loads import Loads
+from .._upstreams.ratings import Raters
 from .listener import open_listener
-from .loads import Loads
 from .metrics import Metrics
-from .orderer import Orderer
-from .outbox import Outbox
-from .parsing import CallParser
-from .peers import Peers
-from .ratings import Raters
-from .services import ServiceAnswerer
 from .state import InstanceState
-from .status import StatusReporter
-from .tallies import Tallies
 
 logger = logging.getLogger("merlinnotch")
 
--- a/src/merlinnotch/_daemon/state.py
+++ b/src/merlinnotch/_daemon/state.py
@@ -3,22 +3,22 @@
 import time
 from dataclasses import dataclass, field
 
+from .._bookkeeping.ledger import Ledger
+from .._bookkeeping.outbox import Outbox
+from .._callers.board import AnswerBoard
+from .._control.configurer import Configurer
+from .._control.guardian import Guardian
 from .._limits import RetryBudget
+from .._links.peers import Peers
+from .._links.tallies import Tallies
 from .._routing import QualityBook, UpstreamTable
 from .._sessions import SessionSigner
 from .._settings import Settings
-from .admission import Admission
-from .board import AnswerBoard
-from .client import UpstreamClient
-from .configurer import Configurer
-from .guardian import Guardian
-from .ledger import Ledger
-from .loads import Loads
+from .._upstreams.admission import Admission
+from .._upstreams.client import UpstreamClient
+from .._upstreams.loads import Loads
+from .._upstreams.ratings import Raters
 from .metrics import Metrics
-from .outbox import Outbox
-from .peers import Peers
-from .ratings import Raters
-from .tallies import Tallies
 
 ALONE_AFTER_S = 8.0
 
--- /dev/null
+++ b/src/merlinnotch/_links/__init__.py
@@ -0,0 +1,1 @@
+"""Links to peers: gossip, tallies and what operators are told."""
--- a/src/merlinnotch/_daemon/gossiper.py
+++ b/src/merlinnotch/_links/gossiper.py
@@ -3,6 +3,7 @@
 import time
 
 from .._config import Revision
+from .._daemon.task import Task
 from .._peers import (
     Beat,
     GossipReply,
@@ -20,7 +21,6 @@
 )
 from .link import PeerUnreachable
 from .progress import Progress
-from .task import Task
 
 FAR_PARTNERS = 2
 SEED_EVERY_ROUNDS = 5
--- a/src/merlinnotch/_daemon/status.py
+++ b/src/merlinnotch/_links/status.py
@@ -2,9 +2,9 @@
 
 import time
 
+from .._daemon.task import Task
 from .._peers import REPORT_EVERY_S, MemberReport, ZoneReport, rank_first
 from .._store.keys import STATUS_PREFIX
-from .task import Task
 
 
 class StatusReporter(Task):
--- /dev/null
+++ b/src/merlinnotch/_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The upstreams' side: attempts, load, the platform's list, ratings."""
--- a/src/merlinnotch/_daemon/directory.py
+++ b/src/merlinnotch/_upstreams/directory.py
@@ -5,10 +5,10 @@
 
 import urllib3
 
+from .._daemon.task import Task
 from .._errors import MerlinnotchError
+from .._links.link import PeerUnreachable
 from .._peers import FetchListing, ListedUpstream, ListingReply
-from .link import PeerUnreachable
-from .task import Task
 
 LIST_PATH = "/v1/health/service/upstream"
 TIMEOUT_S = 1.0
--- a/src/merlinnotch/_daemon/loads.py
+++ b/src/merlinnotch/_upstreams/loads.py
@@ -6,9 +6,9 @@
 import eventlet
 import urllib3
 
+from .._daemon.task import Task
+from .._links.gossiper import LEAVING, LOAD, VERSIONS
 from .._peers import Leaving, LoadedVersions, LoadReport, rank_first
-from .gossiper import LEAVING, LOAD, VERSIONS
-from .task import Task
 
 LOAD_PATH = "/load"
 TIMEOUT_S = 0.5
--- a/src/merlinnotch/_daemon/ratings.py
+++ b/src/merlinnotch/_upstreams/ratings.py
@@ -6,9 +6,9 @@
 
 import urllib3
 
+from .._daemon.task import Task
 from .._errors import MerlinnotchError
 from .._peers import Tally
-from .task import Task
 
 logger = logging.getLogger("merlinnotch")
 
--- a/tests/ablate.py
+++ b/tests/ablate.py
@@ -16,7 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PARTS = ("src", "standins", "tests", "specs", "examples", "pyproject.toml")
-DAEMON = "src/merlinnotch/_daemon"
+SOURCE = "src/merlinnotch"
 
 
 @dataclass(frozen=True)
@@ -33,14 +33,14 @@
 ABLATIONS = (
     Ablation(
         "claims before the run",
-        f"{DAEMON}/attempts.py",
+        f"{SOURCE}/_upstreams/attempts.py",
         "if self._claimed or call.idempotent or not call.named:",
         "if True:",
         "test_ledger.py::test_the_entry_is_killed_while_a_booking_runs",
     ),
     Ablation(
         "copies of bills at a peer",
-        f"{DAEMON}/outbox.py",
+        f"{SOURCE}/_bookkeeping/outbox.py",
         "if holder is not None:",
         "if False:",
         "test_ledger.py::test_an_entry_dies_before_it_could_post_its_bills",
@@ -54,7 +54,7 @@
     ),
     Ablation(
         "'not run' only after a read of the ledger",
-        f"{DAEMON}/dedup.py",
+        f"{SOURCE}/_callers/dedup.py",
         "if not self._state.ledger.was_never_run(call.key, wait_s):",
         "if False:",
         "test_ledger.py::test_a_retry_that_is_refused_while_the_first_attempt_runs",
@@ -75,7 +75,7 @@
     ),
     Ablation(
         "revisions by gossip",
-        f"{DAEMON}/gossiper.py",
+        f"{SOURCE}/_links/gossiper.py",
         "if reply.body:",
         "if False:",
         "test_configuration.py::test_a_zone_that_is_cut_off_from_the_store_learns_from_its_peers",
@@ -103,28 +103,28 @@
     ),
     Ablation(
         "streams are resumed where they broke",
-        f"{DAEMON}/client.py",
+        f"{SOURCE}/_upstreams/client.py",
         "if position:",
         "if False:",
         "test_answers.py::test_a_stream_breaks_off_and_is_resumed_on_the_same_version",
     ),
     Ablation(
         "bounds on silent engines",
-        f"{DAEMON}/client.py",
+        f"{SOURCE}/_upstreams/client.py",
         "wait_s = min(call.time_left_s, self._first_token_limit_s())",
         "wait_s = call.time_left_s",
         "test_answers.py::test_an_engine_falls_silent_in_the_middle_of_its_answers",
     ),
     Ablation(
         "leaving upstreams are believed at once",
-        f"{DAEMON}/loads.py",
+        f"{SOURCE}/_upstreams/loads.py",
         "if reply.status == LEAVING_STATUS:",
         "if False:",
         "test_leaving.py::test_an_upstream_that_is_leaving_gets_no_new_work_although_the_list_lags",
     ),
     Ablation(
         "shutdown waits for requests in progress",
-        f"{DAEMON}/instance.py",
+        f"{SOURCE}/_daemon/instance.py",
         "finished = _wait_until(self._is_idle, deadline)",
         "finished = True",
         "test_leaving.py::test_sigterm_cuts_off_no_stream_and_still_serves_new_connections",
--- a/tests/daemon/test_orderer.py
+++ b/tests/control/test_orderer.py
@@ -5,8 +5,8 @@
 import pytest
 
 from merlinnotch._config import RevisionTracker
+from merlinnotch._control.orderer import Orderer
 from merlinnotch._daemon.metrics import Metrics
-from merlinnotch._daemon.orderer import Orderer
 from merlinnotch._peers import Membership
 from merlinnotch._routing import UpstreamTable
 from merlinnotch._store import MemoryStore
--- a/tests/daemon/test_gossiper.py
+++ b/tests/links/test_gossiper.py
@@ -5,10 +5,10 @@
 import pytest
 
 from merlinnotch._config import RevisionTracker
-from merlinnotch._daemon import gossiper as module
-from merlinnotch._daemon.gossiper import LEAVING, Gossiper
-from merlinnotch._daemon.link import PeerUnreachable
 from merlinnotch._daemon.metrics import Metrics
+from merlinnotch._links import gossiper as module
+from merlinnotch._links.gossiper import LEAVING, Gossiper
+from merlinnotch._links.link import PeerUnreachable
 from merlinnotch._peers import Leaving
 
 EPOCH = 1_000_000_000
