--- a/src/merlinnotch/_cli/application.py
+++ b/src/merlinnotch/_cli/application.py
@@ -8,6 +8,7 @@
 from .bills import BillsCommand
 from .check import CheckCommand
 from .exits import ExitCode
+from .explain import ExplainCommand
 from .history import HistoryCommand
 from .plan import PlanCommand
 from .status import StatusCommand
@@ -43,6 +44,7 @@
         StatusCommand,
         HistoryCommand,
         BillsCommand,
+        ExplainCommand,
     ):
         application.add(command())
     return application
--- /dev/null
+++ b/tests/explain/test_story.py
@@ -0,0 +1,56 @@
+"""From a request's id to its cause."""
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from merlinnotch._cli.explain import ExplainCommand
+from merlinnotch._explain import parse_lines, tell_story
+
+
+def line(time, message, instance="one", **fields):
+    table = {"created": time, "message": message, "instance": instance, "zone": "a"}
+    return "  17.2 collector " + json.dumps(table | fields)
+
+
+@pytest.fixture
+def lines():
+    return [
+        line(9.0, "configuration in force", version=7),
+        line(9.1, "configuration in force", "two", version=7),
+        line(4.0, "configuration in force", version=6),
+        line(10.3, "send failed", request="r1", upstream="i-1", reason="broken"),
+        line(10.2, "upstream gone", upstream="i-1", reason="removed"),
+        line(10.2, "upstream gone", upstream="i-9", reason="removed"),
+        line(10.5, "request ended", request="r1", outcome="upstream_failed", ms=500.0),
+        line(10.4, "request ended", request="r2", outcome="answered", ms=10.0),
+        "no json at all",
+        '{"created": broken',
+    ]
+
+
+def test_the_story_holds_the_request_and_what_was_believed(lines):
+    story = tell_story(parse_lines(lines), "r1")
+    assert [text.split("  ")[-1].split(":")[0] for text in story] == [
+        "configuration in force",
+        "upstream gone",
+        "send failed",
+        "request ended",
+    ]
+    assert "version=7" in story[0]
+    assert "i-9" not in "".join(story)
+
+
+def test_a_request_that_no_line_names_has_no_story(lines):
+    assert tell_story(parse_lines(lines), "r9") == []
+
+
+def test_the_command_reads_files(lines, tmp_path):
+    path = tmp_path / "log"
+    path.write_text("\n".join(lines))
+    tester = CommandTester(ExplainCommand())
+    assert tester.execute(f"r1 {path}") == 0
+    assert "upstream_failed" in tester.io.fetch_output()
+    assert tester.execute(f"r9 {path}") == 1
+    assert tester.execute(f"r1 {tmp_path / 'none'}") == 3
