--- a/src/merlinnotch/_placement/cascade.py
+++ b/src/merlinnotch/_placement/cascade.py
@@ -7,7 +7,7 @@
 FREE_SLOWDOWN = 1.5
 """Up to this slowdown of the engines' streams a second run delays nobody much:
 prompts are read in between tokens all the time."""
-PRICE_PER_MS = 0.006
+PRICE_PER_MS = 0.010
 """What a millisecond of reading costs the others, in the unit of the models'
 costs, for each unit of slowdown beyond the free one. Set so that short and cheap
 kinds give up their second runs first, at a slowdown of 2 to 3, and long valuable
