--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -7,7 +7,7 @@
 from .._errors import StoreConflict, StoreError
 from .._fleet import RolloutState, Stage
 from .._fleet.records import encode_stage, stage_key
-from .._rollout import judge_version
+from .._rollout import Exposure, judge_version
 from ..platform import encode_status, status_key
 from .peers import RolloutNews
 
@@ -90,16 +90,21 @@
             return
         if rollout.status is None or rollout.status.index < rollout.order.index:
             self._write_state(service, rollout, RolloutState.ACTIVE)
-        due = self._schedule.find_due(age_s, rollout.order.period_s)
+        exposure = Exposure(
+            self._book.count_answers(service, rollout.order.target),
+            self._book.count_answers(service),
+        )
+        due = self._schedule.find_due(age_s, rollout.order.period_s, exposure)
         stage = rollout.current_stage
-        if due is not None and (stage is None or stage.number < due.number):
+        if stage is None or stage.number < due.number:
             self._write_stage(service, rollout, due, now)
         elif self._is_done(stage, age_s, rollout.order.period_s):
             self._write_state(service, rollout, RolloutState.COMPLETE)
 
     def _is_done(self, stage, age_s, period_s):
-        moved = stage is not None and stage.share >= 1.0
-        return moved and self._schedule.is_complete(age_s, period_s)
+        if stage is None or stage.share < 1.0:
+            return False
+        return self._schedule.is_complete(age_s, period_s, age_s - stage.age_s)
 
     def _write_stage(self, service, rollout, due, now):
         known = rollout.stage
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -146,7 +146,8 @@
 def encode_news(news):
     """Return :class:`RolloutNews` in CBOR."""
     tallies = [
-        [key.service, key.version, key.route, incarnation, tally.answers, tally.bad]
+        [key.service, key.version, key.route, incarnation]
+        + [tally.answers, tally.bad, tally.slow]
         for key, incarnation, tally in news.tallies
     ]
     return cbor2.dumps([news.service, tallies, news.sessions])
@@ -156,7 +157,7 @@
     """Return the :class:`RolloutNews`; raises ValueError or TypeError."""
     service, rows, sessions = cbor2.loads(data)
     tallies = [
-        (TallyKey(name, version, route), incarnation, Tally(answers, bad))
-        for name, version, route, incarnation, answers, bad in rows
+        (TallyKey(name, version, route), incarnation, Tally(answers, bad, slow))
+        for name, version, route, incarnation, answers, bad, slow in rows
     ]
     return RolloutNews(service, tallies, [tuple(row) for row in sessions])
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -28,7 +28,7 @@
     PaceBook,
     Placer,
 )
-from .._rollout import SessionBook, TallyBook, VersionChooser, build_schedule
+from .._rollout import Schedule, SessionBook, SpeedBook, TallyBook, VersionChooser
 from ..platform import PlatformStore, decode_item
 from .announcer import Announcer
 from .clock import read_clock
@@ -102,7 +102,7 @@
             self._book,
             self._sessions,
             self._peers,
-            build_schedule(settings.rollouts.exposure_share),
+            Schedule(settings.rollouts.exposure_share, settings.rollouts.slack),
             name,
             read_clock,
         )
@@ -201,6 +201,7 @@
             ),
             sessions=self._sessions,
             tallies=self._book,
+            speeds=SpeedBook(),
             metrics=self.metrics,
             read_clock=read_clock,
         )
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -42,9 +42,11 @@
 
 
 class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """*exposure_share* of a service's requests may reach a bad version."""
+    """*exposure_share* of a service's requests and *slack* more in the period of
+    a roll-out may reach a bad version."""
 
     exposure_share: Share
+    slack: Count = 0.0
 
 
 class SessionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -21,6 +21,7 @@
     """An exchange whose answer's head has come.
 
     *note* is what the answer's fields say; *waited_s* is how long the head took.
+    *events* were passed on from it between *first_at* and *last_at*.
     """
 
     upstream: Upstream
@@ -30,6 +31,9 @@
     started_at: float
     waited_s: float
     missing_tokens: float = 0.0
+    events: int = 0
+    first_at: float = 0.0
+    last_at: float = 0.0
 
 
 class AttemptMaker:
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -23,6 +23,7 @@
 that one that breaks off never looks whole; plain answers hold some 100 KB."""
 OK = 200
 SERVER_ERROR = 500
+MIN_PACED_EVENTS = 3
 KEPT_FOR_FAILURES = 1.0
 """Retries that larger models leave for requests that fail."""
 MIN_LEFT_S = 0.02
@@ -231,17 +232,39 @@
             load.note_failure(now)
         else:
             load.note_success(now)
-        self._tally(call, attempt.upstream, failed)
+        slow = not failed and self._is_slow(call, attempt, now)
+        self._tally(call, attempt.upstream, failed, slow)
+
+    def _is_slow(self, call, attempt, now):
+        """Return whether the answer took much longer than its like.
+
+        Streams are judged by the time between events, which prompts and queues
+        hardly change, those with few events by the time to the head.
+        """
+        rollout = self._parts.view.get_rollout(call.service)
+        if not call.route.repeat.streams:
+            seconds = now - attempt.started_at
+            kind = (call.service, "whole", call.route.name)
+        elif attempt.events >= MIN_PACED_EVENTS:
+            seconds = (attempt.last_at - attempt.first_at) / (attempt.events - 1)
+            # Models differ in how they read prompts, hardly in how they write.
+            kind = (call.service, "gap")
+        else:
+            seconds = attempt.waited_s
+            kind = (call.service, "head", call.model)
+        order = rollout.order
+        is_new = order is not None and order.target == attempt.upstream.version
+        return self._parts.speeds.note(kind, seconds, is_new)
 
     def _settle_not_run(self, call, upstream):
         # Asked before it was sent anywhere, it does not count as sent.
         call.sent_to.discard(upstream.id)
 
-    def _tally(self, call, upstream, bad):
+    def _tally(self, call, upstream, bad, slow=False):
         rollout = self._parts.view.get_rollout(call.service)
         if rollout.order is not None:
             key = TallyKey(call.service, upstream.version, call.route.name)
-            self._parts.tallies.note(key, bad)
+            self._parts.tallies.note(key, bad, slow)
 
     def _note_retry(self, call, upstream, reason, detail):
         call.reasons.append(reason)
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -5,7 +5,7 @@
 from .._fleet.view import FleetView
 from .._http import UpstreamPool
 from .._placement import CascadePolicy, GapBook, LoadTable, PaceBook, Placer
-from .._rollout import SessionBook, TallyBook
+from .._rollout import SessionBook, SpeedBook, TallyBook
 from .attempt import AttemptMaker
 from .budgets import BudgetTable
 from .choice import UpstreamChooser
@@ -33,6 +33,7 @@
     budgets: BudgetTable
     sessions: SessionBook
     tallies: TallyBook
+    speeds: SpeedBook
     metrics: object
     read_clock: object
 
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -70,6 +70,9 @@
             pause_s = now - call.last_event_at
             call.longest_pause_s = max(call.longest_pause_s, pause_s)
         call.last_event_at = now
+        attempt.first_at = attempt.first_at or now
+        attempt.last_at = now
+        attempt.events += count
         if self._wrote_at is not None:
             self._note_gap(call, attempt, (now - self._wrote_at) / count)
         self._wrote_at = now
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -2,19 +2,22 @@
 
 from .chooser import VersionChooser
 from .sessions import SessionBook, place_session
-from .stages import Schedule, StagePlan, build_schedule
+from .speed import SpeedBook
+from .stages import Exposure, Schedule, StagePlan
 from .tallies import Tally, TallyBook, TallyKey
-from .verdict import is_worse, judge_version
+from .verdict import is_slower, is_worse, judge_version
 
 __all__ = [
+    "Exposure",
     "Schedule",
     "SessionBook",
+    "SpeedBook",
     "StagePlan",
     "Tally",
     "TallyBook",
     "TallyKey",
     "VersionChooser",
-    "build_schedule",
+    "is_slower",
     "is_worse",
     "judge_version",
     "place_session",
--- a/src/merlinnotch/_rollout/stages.py
+++ b/src/merlinnotch/_rollout/stages.py
@@ -2,61 +2,77 @@
 
 from dataclasses import dataclass
 
+FIRST_STAGE = 1
+LAST_STAGE = 2
+CANARY_PART = 0.6
+"""Part of the allowed exposure that the first stage uses. A bad version is
+convicted after some dozen answers, which it has within seconds; the rest of the
+allowance is for the time from the last stage to the end of the period."""
+EARLIEST_LAST = 0.55
+"""Sessions stay on their version through the first half of the period."""
+USED_PART = 0.85
+"""Part of the allowance that may be planned for; tallies are a second old."""
+BURST = 1.15
+"""How much more traffic than so far the rest of the period may bring."""
+COMPLETE_BEFORE_S = 1.6
+"""How long before its end a roll-out is declared complete: writes take
+milliseconds, a slow store some 200 ms, the turn of two more instances 1.4 s."""
+SETTLE_S = 1.0
+"""Least time from the last stage to completion, in which every instance has
+seen it and short answers of old upstreams have ended."""
+
 
 @dataclass(frozen=True)
 class StagePlan:
-    """One stage: from which part of the period on, and with which share."""
+    """One stage and its share of the traffic."""
 
     number: int
-    starts: float
     share: float
 
 
 @dataclass(frozen=True)
+class Exposure:
+    """Requests to the new version and to the whole service since the order."""
+
+    new: int
+    total: int
+
+
 class Schedule:
-    """The stages of every roll-out and when it counts as complete.
+    """Moves to the new version so late that even an undetected one is allowed.
 
-    *complete_at* is a part of the period as well.
+    *share* of a service's requests in the period, and *slack* more, may go to a
+    version that turns out bad. Some show it only once all traffic is on them,
+    so that the last stage begins when what is left of the period fits into
+    what is left of the allowance.
     """
 
-    stages: tuple[StagePlan, ...]
-    complete_at: float
+    def __init__(self, share, slack):
+        self._share = share
+        self._slack = slack
 
     @property
     def first_share(self):
         """The share of the first stage."""
-        return self.stages[0].share
+        return CANARY_PART * self._share
 
-    def find_due(self, age_s, period_s):
-        """Return the last :class:`StagePlan` that has started, or None."""
-        part = age_s / period_s
-        due = [stage for stage in self.stages if stage.starts <= part]
-        return due[-1] if due else None
+    def find_due(self, age_s, period_s, exposure):
+        """Return the :class:`StagePlan` that should be in force."""
+        if self._may_move(age_s, period_s, exposure):
+            return StagePlan(LAST_STAGE, 1.0)
+        return StagePlan(FIRST_STAGE, self.first_share)
 
-    def is_complete(self, age_s, period_s):
-        """Return whether old upstreams are no longer in use."""
-        return age_s >= self.complete_at * period_s
+    def is_complete(self, age_s, period_s, last_stage_s):
+        """Return whether old upstreams may be stopped.
 
+        *last_stage_s* is how long the last stage has been in force.
+        """
+        return age_s >= period_s - COMPLETE_BEFORE_S and last_stage_s >= SETTLE_S
 
-FIRST_STAGE = 1
-CANARY_PART = 0.8
-"""Part of the allowed exposure that the first stage uses. A bad version is
-convicted after some dozen answers; what reaches it until then, and while it
-is under way to all instances, has to fit into the rest."""
-CANARY_ENDS = 0.55
-"""Sessions stay on their version through the first half of the period."""
-HALF_ENDS = 0.65
-COMPLETE_AT = 0.88
-"""Time for streams on old upstreams to end before these are stopped."""
-
-
-def build_schedule(exposure_share):
-    """Return the :class:`Schedule` where *exposure_share* may reach a bad version."""
-    return Schedule(
-        (
-            StagePlan(FIRST_STAGE, 0.0, CANARY_PART * exposure_share),
-            StagePlan(2, CANARY_ENDS, 0.5),
-            StagePlan(3, HALF_ENDS, 1.0),
-        ),
-        COMPLETE_AT,
-    )
+    def _may_move(self, age_s, period_s, exposure):
+        if age_s < EARLIEST_LAST * period_s:
+            return False
+        left_s = max(0.0, period_s - age_s)
+        coming = BURST * exposure.total / age_s * left_s
+        allowed = self._share * (exposure.total + coming) + self._slack
+        return exposure.new + coming <= USED_PART * allowed
--- a/src/merlinnotch/_rollout/tallies.py
+++ b/src/merlinnotch/_rollout/tallies.py
@@ -14,18 +14,27 @@
 
 @dataclass(frozen=True)
 class Tally:
-    """Answers and, among them, bad ones. Both only grow."""
+    """Answers and, among them, failed and slow ones. All only grow."""
 
     answers: int = 0
     bad: int = 0
+    slow: int = 0
 
     def add(self, other):
         """Return the sum."""
-        return Tally(self.answers + other.answers, self.bad + other.bad)
+        return Tally(
+            self.answers + other.answers,
+            self.bad + other.bad,
+            self.slow + other.slow,
+        )
 
     def join(self, other):
         """Return the later state of the same counter."""
-        return Tally(max(self.answers, other.answers), max(self.bad, other.bad))
+        return Tally(
+            max(self.answers, other.answers),
+            max(self.bad, other.bad),
+            max(self.slow, other.slow),
+        )
 
 
 class TallyBook:
@@ -40,10 +49,10 @@
         self.counts = {}
         self.changed = False
 
-    def note(self, key, bad):
+    def note(self, key, bad, slow=False):
         """Count one answer seen by this instance."""
         own = self.counts.setdefault(key, {})
-        step = Tally(1, int(bad))
+        step = Tally(1, int(bad), int(slow))
         own[self.incarnation] = own.get(self.incarnation, Tally()).add(step)
         self.changed = True
 
@@ -62,6 +71,15 @@
             total = total.add(tally)
         return total
 
+    def count_answers(self, service, version=None):
+        """Return the answers of *service*, of one version or of all."""
+        return sum(
+            tally.answers
+            for key, counts in self.counts.items()
+            if key.service == service and version in (None, key.version)
+            for tally in counts.values()
+        )
+
     def list_rows(self, service):
         """Return (key, incarnation, tally) of every counter of *service*."""
         return [
--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -16,6 +16,22 @@
 with each answer, some hundred times a roll-out."""
 
 
+SLOW_BASE_RATE = 0.1
+SLOW_RATE_FACTOR = 1.3
+"""The same for slow answers. Those take twice the median: of a sound version 10
+to 30 in 100, of one that is eight times slower 75 to 100."""
+MIN_SLOW = 5
+
+
+def is_slower(new, old):
+    """Return whether the new version's :class:`Tally` shows it to be slower."""
+    if new.slow < MIN_SLOW:
+        return False
+    old_rate = old.slow / old.answers if old.answers else 0.0
+    allowed = min(0.9, SLOW_BASE_RATE + SLOW_RATE_FACTOR * old_rate)
+    return _tail(new.slow, new.answers, allowed) < CONVICT_BELOW
+
+
 def is_worse(new, old):
     """Return whether the new version's :class:`Tally` convicts it.
 
@@ -42,11 +58,11 @@
             continue
         new = book.sum(key)
         old = _sum_others(book, service, target, key.route)
-        if is_worse(new, old):
+        if is_worse(new, old) or is_slower(new, old):
             return f"route {key.route}: {_compare(new, old)}"
         new_total = new_total.add(new)
         old_total = old_total.add(old)
-    if is_worse(new_total, old_total):
+    if is_worse(new_total, old_total) or is_slower(new_total, old_total):
         return _compare(new_total, old_total)
     return None
 
@@ -60,7 +76,10 @@
 
 
 def _compare(new, old):
-    return f"{new.bad} of {new.answers} bad, before {old.bad} of {old.answers}"
+    return (
+        f"{new.bad} bad and {new.slow} slow of {new.answers}, "
+        f"before {old.bad} and {old.slow} of {old.answers}"
+    )
 
 
 def _tail(count, trials, rate):
--- a/tests/rollout/test_verdict.py
+++ b/tests/rollout/test_verdict.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from merlinnotch._rollout import Tally, TallyBook, TallyKey, is_worse, judge_version
+from merlinnotch._rollout import (
+    Tally,
+    TallyBook,
+    TallyKey,
+    is_slower,
+    is_worse,
+    judge_version,
+)
 
 
 @pytest.mark.parametrize(
@@ -21,6 +28,19 @@
     assert is_worse(new, old) is worse
 
 
+@pytest.mark.parametrize(
+    ("new", "old", "slower"),
+    [
+        (Tally(10, 0, 2), Tally(100, 0, 10), False),
+        (Tally(12, 0, 10), Tally(100, 0, 15), True),
+        # Load makes both versions slow.
+        (Tally(40, 0, 20), Tally(200, 0, 90), False),
+    ],
+)
+def test_a_version_is_slower_than_the_one_before(new, old, slower):
+    assert is_slower(new, old) is slower
+
+
 def fill(book, version, route, answers, bad):
     for number in range(answers):
         book.note(TallyKey("s", version, route), number < bad)
