Results apart from sending; one spread of times to return; the store's address follows the settings

Cause of a fault found by its test: a call under way when the address changed gave its connection back, and the next call went to the old store.

--- a/src/merlinnotch/_entry/follower.py
+++ b/src/merlinnotch/_entry/follower.py
@@ -43,10 +43,6 @@
             self._step()
             self._view.drop_lapsed(self._read_clock())
 
-    def replace_store(self, store):
-        """Follow another store from the next call on."""
-        self._store = store
-
     @property
     def is_connected(self):
         """Whether the last call to the store was answered."""
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -74,14 +74,14 @@
         self._loads = LoadTable(self._find_engine)
         self._book = TallyBook(f"{settings.instance.name}/{time.time_ns()}")
         self._sessions = SessionBook(settings.sessions.keep_s)
-        self._store = self._build_store(settings.store)
+        self.store = self._build_store(settings.store)
         name = settings.instance.name
         self._peers = PeerClient(name, self.view, read_clock, self.metrics)
         self.news = WorkNews(
             settings.instance.peer_address, name, self.view, self._note_work
         )
         self.follower = Follower(
-            self._store,
+            self.store,
             self.mirror,
             self.view,
             self._peers,
@@ -90,14 +90,14 @@
             self.metrics,
         )
         self._announcer = Announcer(
-            self._store,
+            self.store,
             name,
             settings.instance.zone,
             settings.instance.peer_address,
             generator,
         )
         self._conductor = Conductor(
-            self._store,
+            self.store,
             self.view,
             self._book,
             self._sessions,
@@ -160,13 +160,12 @@
         self.gateway.close_idle()
 
     def reload(self, settings):
-        """Take changed settings; what is tied to listeners needs a restart."""
+        """Follow the store to another address; the rest needs a restart."""
         if settings == self.settings:
             return
-        if settings.store != self.settings.store:
-            self.follower.replace_store(self._build_store(settings.store))
+        self.store.move_to(settings.store.address)
         self.settings = settings
-        logger.info("settings reloaded")
+        logger.info("settings reloaded", extra={"store": settings.store.address})
 
     def _build_store(self, settings):
         return PlatformStore(
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -11,9 +11,9 @@
     RequestRefused,
 )
 from .._placement import PoolLoad, Work
-from .._rollout import TallyKey
 from .attempt import NotRun
 from .patience import limit_wait
+from .results import ResultNoter
 from .stream import StreamRelay
 
 logger = logging.getLogger("merlinnotch")
@@ -23,7 +23,6 @@
 that one that breaks off never looks whole; plain answers hold some 100 KB."""
 OK = 200
 SERVER_ERROR = 500
-MIN_PACED_EVENTS = 3
 KEPT_FOR_FAILURES = 1.0
 """Retries that larger models leave for requests that fail."""
 MIN_LEFT_S = 0.02
@@ -36,6 +35,7 @@
     def __init__(self, parts):
         self._parts = parts
         self._read_clock = parts.read_clock
+        self._results = ResultNoter(parts)
 
     def forward(self, call, connection):
         """Deliver the answer on *connection*.
@@ -74,8 +74,7 @@
             now = self._read_clock()
             self._parts.prober.suspect(upstream)
             if now < call.deadline:
-                load.note_failure(now)
-                self._tally(call, upstream, bad=True)
+                self._results.note_broken(call, upstream, now)
             call.tried.add(upstream.id)
             self._note_retry(call, upstream, "broken", error)
             if not call.may_run_again:
@@ -149,7 +148,7 @@
         if attempt.note.encoded:
             raise ConnectionBroken("the body is encoded")
         failed = attempt.head.status >= SERVER_ERROR
-        self._settle(call, attempt, failed)
+        self._results.note_answer(call, attempt, failed)
         if failed and self._can_try_again(call):
             call.tried.add(attempt.upstream.id)
             self._note_retry(
@@ -164,7 +163,7 @@
         larger = self._choose_larger(call, attempt)
         if larger is not None:
             attempt.connection.close()
-            self._settle(call, attempt, failed=False)
+            self._results.note_answer(call, attempt, failed=False)
             fields = _describe(call, attempt.upstream) | {"next_model": larger}
             fields |= {"confidence": call.confidence, "slowdown": call.slowdown}
             logger.info("larger model asked", extra=fields)
@@ -172,11 +171,15 @@
             call.reasons.append("larger model")
             return False
         relay = StreamRelay(
-            call, connection, self._parts.pass_on, self._read_clock, self._note_gap
+            call,
+            connection,
+            self._parts.pass_on,
+            self._read_clock,
+            self._results.note_gap,
         )
         relay.run(attempt)
         self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
-        self._settle(call, attempt, failed=False)
+        self._results.note_answer(call, attempt, failed=False)
         return True
 
     def _choose_larger(self, call, attempt):
@@ -216,56 +219,10 @@
             and call.measure_left(self._read_clock()) > MIN_LEFT_S
         )
 
-    def _note_gap(self, call, attempt, seconds):
-        """Learn from the time between two events how busy the engine is."""
-        parts = self._parts
-        slowdown = parts.gaps.note(call.model, seconds)
-        load = parts.loads.get(attempt.upstream)
-        load.note_slowdown(slowdown, self._read_clock())
-
-    def _settle(self, call, attempt, failed):
-        """Count an answer for its upstream and its version."""
-        now = self._read_clock()
-        load = self._parts.loads.get(attempt.upstream)
-        load.note_answer(now - attempt.started_at)
-        if failed:
-            load.note_failure(now)
-        else:
-            load.note_success(now)
-        slow = not failed and self._is_slow(call, attempt, now)
-        self._tally(call, attempt.upstream, failed, slow)
-
-    def _is_slow(self, call, attempt, now):
-        """Return whether the answer took much longer than its like.
-
-        Streams are judged by the time between events, which prompts and queues
-        hardly change, those with few events by the time to the head.
-        """
-        rollout = self._parts.view.get_rollout(call.service)
-        if not call.route.repeat.streams:
-            seconds = now - attempt.started_at
-            kind = (call.service, "whole", call.route.name)
-        elif attempt.events >= MIN_PACED_EVENTS:
-            seconds = (attempt.last_at - attempt.first_at) / (attempt.events - 1)
-            # Models differ in how they read prompts, hardly in how they write.
-            kind = (call.service, "gap")
-        else:
-            seconds = attempt.waited_s
-            kind = (call.service, "head", call.model)
-        order = rollout.order
-        is_new = order is not None and order.target == attempt.upstream.version
-        return self._parts.speeds.note(kind, seconds, is_new)
-
     def _settle_not_run(self, call, upstream):
         # Asked before it was sent anywhere, it does not count as sent.
         call.sent_to.discard(upstream.id)
 
-    def _tally(self, call, upstream, bad, slow=False):
-        rollout = self._parts.view.get_rollout(call.service)
-        if rollout.order is not None:
-            key = TallyKey(call.service, upstream.version, call.route.name)
-            self._parts.tallies.note(key, bad, slow)
-
     def _note_retry(self, call, upstream, reason, detail):
         call.reasons.append(reason)
         self._parts.metrics.retries.labels(reason).inc()
--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .._errors import ErrorKind, Outcome, answer_for
+from .._limits import spread_retry_after
 
 MAY_HAVE_RUN = 502
 MIN_RETRY_AFTER_S = 0.15
@@ -35,7 +36,7 @@
     pairs = [("content-type", "application/json")]
     base = error.retry_after_s or RETRY_AFTER_S.get(error.kind)
     if base is not None and status in NOT_RUN_STATUSES:
-        wait = base * generator.uniform(0.6, 1.4)
+        wait = spread_retry_after(base, generator)
         wait = max(MIN_RETRY_AFTER_S, min(wait, left_s * MAX_SHARE_OF_LEFT))
         pairs.append(("retry-after", f"{wait:.2f}"))
     return status, pairs, body
--- /dev/null
+++ b/src/merlinnotch/_gateway/results.py
@@ -0,0 +1,64 @@
+"""What is learned from answers: of upstreams, of versions, of the engines' pace."""
+
+from .._rollout import TallyKey
+
+MIN_PACED_EVENTS = 3
+
+
+class ResultNoter:
+    """Hands what came of each send to those who decide by it."""
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._read_clock = parts.read_clock
+
+    def note_broken(self, call, upstream, now):
+        """Count a send that broke off or was given up."""
+        self._parts.loads.get(upstream).note_failure(now)
+        self._tally(call, upstream, bad=True)
+
+    def note_gap(self, call, attempt, seconds):
+        """Learn from the time between two events how busy the engine is."""
+        parts = self._parts
+        slowdown = parts.gaps.note(call.model, seconds)
+        load = parts.loads.get(attempt.upstream)
+        load.note_slowdown(slowdown, self._read_clock())
+
+    def note_answer(self, call, attempt, failed):
+        """Count a whole answer for its upstream and its version."""
+        now = self._read_clock()
+        load = self._parts.loads.get(attempt.upstream)
+        load.note_answer(now - attempt.started_at)
+        if failed:
+            load.note_failure(now)
+        else:
+            load.note_success(now)
+        slow = not failed and self._is_slow(call, attempt, now)
+        self._tally(call, attempt.upstream, failed, slow)
+
+    def _is_slow(self, call, attempt, now):
+        """Return whether the answer took much longer than its like.
+
+        Streams are judged by the time between events, which prompts and queues
+        hardly change, those with few events by the time to the head.
+        """
+        rollout = self._parts.view.get_rollout(call.service)
+        if not call.route.repeat.streams:
+            seconds = now - attempt.started_at
+            kind = (call.service, "whole", call.route.name)
+        elif attempt.events >= MIN_PACED_EVENTS:
+            seconds = (attempt.last_at - attempt.first_at) / (attempt.events - 1)
+            # Models differ in how they read prompts, hardly in how they write.
+            kind = (call.service, "gap")
+        else:
+            seconds = attempt.waited_s
+            kind = (call.service, "head", call.model)
+        order = rollout.order
+        is_new = order is not None and order.target == attempt.upstream.version
+        return self._parts.speeds.note(kind, seconds, is_new)
+
+    def _tally(self, call, upstream, bad, slow=False):
+        rollout = self._parts.view.get_rollout(call.service)
+        if rollout.order is not None:
+            key = TallyKey(call.service, upstream.version, call.route.name)
+            self._parts.tallies.note(key, bad, slow)
--- a/src/merlinnotch/platform/__init__.py
+++ b/src/merlinnotch/platform/__init__.py
@@ -2,7 +2,6 @@
 
 from .documents import decode_item, encode_status
 from .headers import (
-    ANSWER_DROPPED,
     REQUEST_DROPPED,
     CallHeaders,
     decode_call,
@@ -10,14 +9,12 @@
     is_not_run,
     read_answer,
 )
-from .keys import EVERYTHING, STATUS_PREFIX, is_upstream_key, status_key
+from .keys import EVERYTHING, status_key
 from .store import PlatformStore
 
 __all__ = [
-    "ANSWER_DROPPED",
     "EVERYTHING",
     "REQUEST_DROPPED",
-    "STATUS_PREFIX",
     "CallHeaders",
     "PlatformStore",
     "decode_call",
@@ -25,7 +22,6 @@
     "encode_call",
     "encode_status",
     "is_not_run",
-    "is_upstream_key",
     "read_answer",
     "status_key",
 ]
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -20,7 +20,6 @@
 _NOT_RUN = "x-not-executed"
 _LOAD = "x-server-load"
 _CONFIDENCE = "x-confidence"
-_UPSTREAM_ID = "x-instance-id"
 
 ANY_MODEL = "*"
 MISDIRECTED = 421
@@ -43,8 +42,6 @@
 )
 """Fields that only this product may set for an upstream, and the secret key."""
 
-ANSWER_DROPPED = frozenset({_NOT_RUN})
-
 
 @dataclass(frozen=True)
 class PromptPart:
--- a/src/merlinnotch/platform/keys.py
+++ b/src/merlinnotch/platform/keys.py
@@ -12,8 +12,3 @@
 def status_key(service):
     """Return where the state of a service's roll-out is told to operators."""
     return STATUS_PREFIX + service
-
-
-def is_upstream_key(key):
-    """Return whether *key* holds the entry of an upstream."""
-    return key.startswith(UPSTREAM_PREFIX)
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -83,6 +83,12 @@
         self._on_call = on_call
         self._idle = []
 
+    def move_to(self, address):
+        """Call another address from now on."""
+        self.address = address
+        while self._idle:
+            self._idle.pop().close()
+
     def read(self, prefix, recurse=False):
         if not recurse:
             return self._read_key(prefix)
@@ -228,7 +234,9 @@
         return UpstreamConnection(self.address, self._read_clock, CONNECT_S)
 
     def _keep_connection(self, connection):
-        if connection.make_reusable(self._read_clock()):
+        # A call that was under way when the address changed ends at the old one.
+        moved = connection.address != self.address
+        if not moved and connection.make_reusable(self._read_clock()):
             self._idle.append(connection)
         else:
             connection.close()
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -1,7 +1,10 @@
 """Following the store through its troubles."""
 
+from msgspec.structs import replace
+
 from merlinnotch._fleet.view import LAPSED_KEEP_S
-from tests.platform_world import PLAIN, Caller, wait_until
+from standins.platform_store import StandInStore
+from tests.platform_world import PLAIN, PORTS, Caller, make_configuration, wait_until
 
 
 def version_of(process):
@@ -42,7 +45,7 @@
     world.add_upstream("i-1")
     one, two = world.add_instance("one"), world.add_instance("two")
     wait_until(lambda: len(one.view.peers) == len(two.view.peers) == 2)
-    one.follower.replace_store(Refusing())
+    one.store.move_to(PORTS.pick("127.0.0.1"))
     wait_until(lambda: not one.follower.is_connected)
     world.configure(tenants=[{"name": "other", "api-keys": ["other"]}])
     world.store.delete("servers/i-1")
@@ -50,16 +53,16 @@
     assert one.view.list_upstreams("app") == []
 
 
-class Refusing:
-    """A store that turns every call of one instance away."""
-
-    def __getattr__(self, name):
-        from merlinnotch._errors import StoreUnavailable
-
-        def call(*args, **kwargs):
-            raise StoreUnavailable("status 503")
-
-        return call
+def test_changed_settings_move_to_another_store(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    other = StandInStore()
+    other.revision = 100
+    other.put("op/config", make_configuration(9))
+    store = replace(one.settings.store, address=other.address)
+    one.reload(replace(one.settings, store=store))
+    wait_until(lambda: version_of(one) == 9)
+    other.close()
 
 
 def test_an_entry_that_lapsed_in_an_outage_is_used_until_it_is_surely_gone(world):
