--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specs import configuration, ledger, orders
+from specs import configuration, ledger, orders, rollout
 
 MAX_STATES = 400_000
 
@@ -36,6 +36,18 @@
     assert not check(configuration.build_blind_apply(), "one_winner")
 
 
+ROLLOUT = "an_end_is_final"
+
+
+def test_a_rollout_ends_once():
+    assert check(rollout.build(), ROLLOUT)
+
+
+@pytest.mark.parametrize("build", [rollout.build_blind, rollout.build_restless])
+def test_broken_leaders_end_a_rollout_twice(build):
+    assert not check(build(), ROLLOUT)
+
+
 ORDERS = "never_back_to_an_old_holder"
 
 
