Tallies belong to one order of a roll-out

Cause: a peer that had not seen a new order yet told its counts of the earlier one; they would have raised the allowance and hidden the new version's share. Found by reading; test added. Counts are kept only while a roll-out is under way.

--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -59,12 +59,12 @@
     def _lead(self, service, rollout, now):
         if self._orders.get(service) != rollout.order.index:
             self._orders[service] = rollout.order.index
-            self._book.forget(service)
-        reason = judge_version(self._book, service, rollout.order.target)
+            self._book.forget_before(rollout.order)
+        reason = judge_version(self._book, rollout.order)
         if reason is not None:
             self._convict(service, rollout, reason)
             return
-        self._tell_peers(service, now)
+        self._tell_peers(rollout.order, now)
         age_s = rollout.measure_age(now) - self._wait_for_turn(service)
         if age_s >= 0:
             self._advance(service, rollout, age_s, now)
@@ -91,8 +91,8 @@
         if rollout.status is None or rollout.status.index < rollout.order.index:
             self._write_state(service, rollout, RolloutState.ACTIVE)
         exposure = Exposure(
-            self._book.count_answers(service, rollout.order.target),
-            self._book.count_answers(service),
+            self._book.count_answers(rollout.order, rollout.order.target),
+            self._book.count_answers(rollout.order),
         )
         due = self._schedule.find_due(age_s, rollout.order.period_s, exposure)
         stage = rollout.current_stage
@@ -127,12 +127,13 @@
         fields = {"service": service, "target": target, "state": str(state)}
         logger.info("roll-out state written", extra=fields)
 
-    def _tell_peers(self, service, now):
+    def _tell_peers(self, order, now):
         if self._book.changed and now - self._told_at >= TELL_S:
             self._told_at = now
             self._book.changed = False
-            kept = self._sessions.list_kept(service, self._schedule.first_share, now)
-            news = RolloutNews(service, self._book.list_rows(service), kept)
+            share = self._schedule.first_share
+            kept = self._sessions.list_kept(order.service, share, now)
+            news = RolloutNews(order.service, self._book.list_rows(order), kept)
             self._peers.send_rollout(news)
 
     def _wait_for_turn(self, service):
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -146,7 +146,7 @@
 def encode_news(news):
     """Return :class:`RolloutNews` in CBOR."""
     tallies = [
-        [key.service, key.version, key.route, incarnation]
+        [key.service, key.version, key.route, key.order, incarnation]
         + [tally.answers, tally.bad, tally.slow]
         for key, incarnation, tally in news.tallies
     ]
@@ -157,7 +157,7 @@
     """Return the :class:`RolloutNews`; raises ValueError or TypeError."""
     service, rows, sessions = cbor2.loads(data)
     tallies = [
-        (TallyKey(name, version, route), incarnation, Tally(answers, bad, slow))
-        for name, version, route, incarnation, answers, bad, slow in rows
+        (TallyKey(name, version, route, order), incarnation, Tally(*counts))
+        for name, version, route, order, incarnation, *counts in rows
     ]
     return RolloutNews(service, tallies, [tuple(row) for row in sessions])
--- a/src/merlinnotch/_gateway/results.py
+++ b/src/merlinnotch/_gateway/results.py
@@ -1,5 +1,6 @@
 """What is learned from answers: of upstreams, of versions, of the engines' pace."""
 
+from .._fleet import RolloutState
 from .._rollout import TallyKey
 
 MIN_PACED_EVENTS = 3
@@ -59,6 +60,7 @@
 
     def _tally(self, call, upstream, bad, slow=False):
         rollout = self._parts.view.get_rollout(call.service)
-        if rollout.order is not None:
-            key = TallyKey(call.service, upstream.version, call.route.name)
+        if rollout.state is RolloutState.ACTIVE:
+            order = rollout.order.index
+            key = TallyKey(call.service, upstream.version, call.route.name, order)
             self._parts.tallies.note(key, bad, slow)
--- a/src/merlinnotch/_rollout/tallies.py
+++ b/src/merlinnotch/_rollout/tallies.py
@@ -5,11 +5,16 @@
 
 @dataclass(frozen=True)
 class TallyKey:
-    """What is counted together: answers of one version on one route."""
+    """What is counted together: answers of one version on one route.
+
+    *order* is the index of the roll-out's order, so that counts of an earlier
+    one that a peer still tells don't mix with those of this one.
+    """
 
     service: str
     version: str
     route: str
+    order: int
 
 
 @dataclass(frozen=True)
@@ -71,25 +76,29 @@
             total = total.add(tally)
         return total
 
-    def count_answers(self, service, version=None):
-        """Return the answers of *service*, of one version or of all."""
+    def list_keys(self, order):
+        """Return the keys that were counted for a :class:`RolloutOrder`."""
+        wanted = (order.service, order.index)
+        return [key for key in self.counts if (key.service, key.order) == wanted]
+
+    def count_answers(self, order, version=None):
+        """Return the answers since *order*, of one version or of all."""
         return sum(
-            tally.answers
-            for key, counts in self.counts.items()
-            if key.service == service and version in (None, key.version)
-            for tally in counts.values()
+            self.sum(key).answers
+            for key in self.list_keys(order)
+            if version in (None, key.version)
         )
 
-    def list_rows(self, service):
-        """Return (key, incarnation, tally) of every counter of *service*."""
+    def list_rows(self, order):
+        """Return (key, incarnation, tally) of every counter of *order*."""
         return [
             (key, incarnation, tally)
-            for key, counts in self.counts.items()
-            if key.service == service
-            for incarnation, tally in counts.items()
+            for key in self.list_keys(order)
+            for incarnation, tally in self.counts[key].items()
         ]
 
-    def forget(self, service):
-        """Drop the counts of *service*; a new roll-out starts afresh."""
-        for key in [key for key in self.counts if key.service == service]:
-            del self.counts[key]
+    def forget_before(self, order):
+        """Drop the counts of earlier orders for the same service."""
+        for key in list(self.counts):
+            if key.service == order.service and key.order < order.index:
+                del self.counts[key]
--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -45,19 +45,19 @@
     return _tail(new.bad, new.answers, allowed) < CONVICT_BELOW
 
 
-def judge_version(book, service, target):
-    """Return a reason to take *target* back, or None.
+def judge_version(book, order):
+    """Return a reason to take the target of *order* back, or None.
 
     Looks at all routes together and at each one alone: some versions fail on
     one route only.
     """
     new_total = Tally()
     old_total = Tally()
-    for key in list(book.counts):
-        if key.service != service or key.version != target:
+    for key in book.list_keys(order):
+        if key.version != order.target:
             continue
         new = book.sum(key)
-        old = _sum_others(book, service, target, key.route)
+        old = _sum_others(book, order, key.route)
         if is_worse(new, old) or is_slower(new, old):
             return f"route {key.route}: {_compare(new, old)}"
         new_total = new_total.add(new)
@@ -67,10 +67,10 @@
     return None
 
 
-def _sum_others(book, service, target, route):
+def _sum_others(book, order, route):
     total = Tally()
-    for key in book.counts:
-        if (key.service, key.route) == (service, route) and key.version != target:
+    for key in book.list_keys(order):
+        if key.route == route and key.version != order.target:
             total = total.add(book.sum(key))
     return total
 
--- a/tests/rollout/test_verdict.py
+++ b/tests/rollout/test_verdict.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from merlinnotch._fleet import RolloutOrder
 from merlinnotch._rollout import (
     Tally,
     TallyBook,
@@ -11,6 +12,8 @@
     judge_version,
 )
 
+ORDER = RolloutOrder("s", "v2", 20.0, 7)
+
 
 @pytest.mark.parametrize(
     ("new", "old", "worse"),
@@ -43,7 +46,7 @@
 
 def fill(book, version, route, answers, bad):
     for number in range(answers):
-        book.note(TallyKey("s", version, route), number < bad)
+        book.note(TallyKey("s", version, route, 7), number < bad)
 
 
 def test_a_version_that_fails_on_one_route_only_is_convicted():
@@ -52,7 +55,7 @@
         fill(book, "v1", route, 200, 2)
         fill(book, "v2", route, 12, 0)
     fill(book, "v2", "d", 8, 6)
-    assert "route d" in judge_version(book, "s", "v2")
+    assert "route d" in judge_version(book, ORDER)
 
 
 def test_counts_of_all_instances_convict_together():
@@ -60,20 +63,20 @@
     fill(one, "v1", "a", 50, 0)
     fill(one, "v2", "a", 2, 2)
     fill(two, "v2", "a", 3, 2)
-    assert judge_version(one, "s", "v2") is None
+    assert judge_version(one, ORDER) is None
     for _ in range(2):
-        for row in two.list_rows("s"):
+        for row in two.list_rows(ORDER):
             one.merge(*row)
-    assert judge_version(one, "s", "v2") is not None
+    assert judge_version(one, ORDER) is not None
 
 
 def test_what_is_told_twice_counts_once():
     one, two = TallyBook("one"), TallyBook("two")
     fill(two, "v2", "a", 5, 2)
     for _ in range(3):
-        for row in two.list_rows("s"):
+        for row in two.list_rows(ORDER):
             one.merge(*row)
-    assert one.sum(TallyKey("s", "v2", "a")) == Tally(5, 2)
+    assert one.sum(TallyKey("s", "v2", "a", 7)) == Tally(5, 2)
 
 
 def test_a_sound_version_is_seldom_convicted(seeded):
@@ -82,8 +85,8 @@
         book = TallyBook("me")
         for _ in range(120):
             for version in ("v1", "v2"):
-                book.note(TallyKey("s", version, "a"), seeded.random() < 0.03)
-            if judge_version(book, "s", "v2"):
+                book.note(TallyKey("s", version, "a", 7), seeded.random() < 0.03)
+            if judge_version(book, ORDER):
                 convicted += 1
                 break
     assert convicted <= 10
@@ -95,8 +98,21 @@
         book = TallyBook("me")
         fill(book, "v1", "a", 100, 2)
         count = 0
-        while judge_version(book, "s", "v2") is None:
-            book.note(TallyKey("s", "v2", "a"), seeded.random() < 0.35)
+        while judge_version(book, ORDER) is None:
+            book.note(TallyKey("s", "v2", "a", 7), seeded.random() < 0.35)
             count += 1
         needed.append(count)
     assert sorted(needed)[180] <= 30
+
+
+def test_counts_of_an_earlier_order_do_not_count():
+    one, two = TallyBook("one"), TallyBook("two")
+    for _ in range(20):
+        two.note(TallyKey("s", "v2", "a", 3), True)
+    earlier = RolloutOrder("s", "v2", 20.0, 3)
+    for row in two.list_rows(earlier):
+        one.merge(*row)
+    assert judge_version(one, ORDER) is None
+    assert one.count_answers(ORDER) == 0
+    one.forget_before(ORDER)
+    assert one.counts == {}
