--- a/src/merlinnotch/_entry/main.py
+++ b/src/merlinnotch/_entry/main.py
@@ -9,8 +9,7 @@
 # Addresses are IP numbers; its resolver would cost 12 MB for nothing.
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 # Its own advice against itself; docs/design/libraries.md says why it is used.
-warnings.filterwarnings("ignore", module="merlinnotch")
-warnings.filterwarnings("ignore", category=DeprecationWarning)
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 from .early import listen_early  # noqa: E402
 
