--- a/tests/rollout/test_speed.py
+++ b/tests/rollout/test_speed.py
@@ -33,3 +33,20 @@
     book = SpeedBook()
     book.note("kind", 0.04, is_new=False)
     assert not book.note("kind", 4.0, is_new=True)
+
+
+def test_turns_on_a_shared_core_make_no_answer_slow():
+    book = SpeedBook()
+    for _ in range(60):
+        book.note("kind", 0.0025, is_new=False)
+    for seconds in (0.0066, 0.0085, 0.0093, 0.0128):
+        assert not book.note("kind", seconds, is_new=True)
+    assert book.note("kind", 0.03, is_new=True)
+
+
+def test_gaps_of_streams_are_slow_from_twice_the_usual_ones():
+    book = SpeedBook()
+    for _ in range(60):
+        book.note("gap", 0.021, is_new=False)
+    assert not book.note("gap", 0.041, is_new=True)
+    assert book.note("gap", 0.044, is_new=True)
