Streams are judged by their first events

Ruled out: lost tallies, a lenient verdict (there was nothing to judge). Change: counted once four events have come. Stages and states are logged with what was seen. The test fails without the change.

--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -7,7 +7,7 @@
 from .._errors import StoreConflict, StoreError
 from .._fleet import RolloutState, Stage
 from .._fleet.records import encode_stage, stage_key
-from .._rollout import Exposure, judge_version
+from .._rollout import Exposure, describe_tallies, judge_version
 from ..platform import encode_status, status_key
 from .tallies import TallyNews
 
@@ -128,6 +128,7 @@
             stage_key(service), encode_stage(stage), known.index if known else 0
         )
         fields = {"service": service, "stage": due.number, "share": due.share}
+        fields["seen"] = describe_tallies(self._book, rollout.order)
         logger.info("stage written", extra=fields | {"age_s": round(age_s, 2)})
 
     def _write_state(self, service, rollout, state):
@@ -139,6 +140,7 @@
             known.index if known else 0,
         )
         fields = {"service": service, "target": target, "state": str(state)}
+        fields["seen"] = describe_tallies(self._book, rollout.order)
         logger.info("roll-out state written", extra=fields)
 
     def _tell_judges(self, rollout, now):
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -21,7 +21,8 @@
     """An exchange whose answer's head has come.
 
     *note* is what the answer's fields say; *waited_s* is how long the head took.
-    *events* were passed on from it between *first_at* and *last_at*.
+    *events* were passed on from it between *first_at* and *last_at*. *is_judged*
+    says that it has been counted for its version.
     """
 
     upstream: Upstream
@@ -30,10 +31,10 @@
     note: object
     started_at: float
     waited_s: float
-    missing_tokens: float = 0.0
     events: int = 0
     first_at: float = 0.0
     last_at: float = 0.0
+    is_judged: bool = False
 
 
 class AttemptMaker:
@@ -111,7 +112,7 @@
         waited_s = now - started_at
         if work.model and missing:
             self._paces.note(work.model, missing, waited_s)
-        return Attempt(upstream, connection, head, note, started_at, waited_s, missing)
+        return Attempt(upstream, connection, head, note, started_at, waited_s)
 
     def _give_back_short(self, upstream, connection, now):
         """Read a refusal's body so that the connection can be used again."""
--- a/src/merlinnotch/_gateway/results.py
+++ b/src/merlinnotch/_gateway/results.py
@@ -3,7 +3,10 @@
 from .._fleet import RolloutState
 from .._rollout import TallyKey
 
-MIN_PACED_EVENTS = 3
+MIN_PACED_EVENTS = 4
+"""A stream is judged by the time between its first events as soon as there are
+this many: one that is eight times slower takes 30 s to its end, longer than the
+roll-out that its version has to be judged in."""
 
 
 class ResultNoter:
@@ -24,6 +27,8 @@
         slowdown = parts.gaps.note(call.model, seconds)
         load = parts.loads.get(attempt.upstream)
         load.note_slowdown(slowdown, self._read_clock())
+        if not attempt.is_judged and attempt.events >= MIN_PACED_EVENTS:
+            self._judge(call, attempt)
 
     def note_answer(self, call, attempt, failed):
         """Count a whole answer for its upstream and its version."""
@@ -34,8 +39,15 @@
             load.note_failure(now)
         else:
             load.note_success(now)
-        slow = not failed and self._is_slow(call, attempt, now)
-        self._tally(call, attempt.upstream, failed, slow)
+        if failed:
+            self._tally(call, attempt.upstream, bad=True)
+        elif not attempt.is_judged:
+            self._judge(call, attempt)
+
+    def _judge(self, call, attempt):
+        attempt.is_judged = True
+        slow = self._is_slow(call, attempt, self._read_clock())
+        self._tally(call, attempt.upstream, bad=False, slow=slow)
 
     def _is_slow(self, call, attempt, now):
         """Return whether the answer took much longer than its like.
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -5,7 +5,7 @@
 from .speed import SpeedBook
 from .stages import Exposure, Schedule, StagePlan
 from .tallies import Tally, TallyBook, TallyKey
-from .verdict import is_slower, is_worse, judge_version
+from .verdict import describe_tallies, is_slower, is_worse, judge_version
 
 __all__ = [
     "Exposure",
@@ -16,6 +16,7 @@
     "TallyBook",
     "TallyKey",
     "VersionChooser",
+    "describe_tallies",
     "is_slower",
     "is_worse",
     "judge_version",
--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -67,6 +67,17 @@
     return None
 
 
+def describe_tallies(book, order):
+    """Return what was counted of the target of *order* and of the rest."""
+    new = old = Tally()
+    for key in book.list_keys(order):
+        if key.version == order.target:
+            new = new.add(book.sum(key))
+        else:
+            old = old.add(book.sum(key))
+    return _compare(new, old)
+
+
 def _sum_others(book, order, route):
     total = Tally()
     for key in book.list_keys(order):
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -5,8 +5,10 @@
 import eventlet
 import pytest
 
-from standins.platform_upstream import answer
-from tests.platform_world import PLAIN, Caller, wait_until
+from merlinnotch._fleet import Stage
+from merlinnotch._fleet.records import encode_stage, stage_key
+from standins.platform_upstream import answer, stream
+from tests.platform_world import PLAIN, STREAM, Caller, wait_until
 
 PERIOD_S = 4.0
 
@@ -129,3 +131,25 @@
     assert len(bad.requests) == count
     world.store.silent = False
     wait_until(lambda: read_state(world) == "reverted", 8.0)
+
+
+def test_a_slow_version_is_convicted_before_its_streams_end(world):
+    world.add_upstream("i-1", stream(last=8, pause_s=0.01), service="engines")
+    one = world.add_instance("one")
+    for _ in range(12):
+        assert Caller(one).send(STREAM, "POST", b"x").whole
+    slow = stream(last=200, pause_s=0.08)
+    world.add_upstream("i-2", slow, service="engines", version="v2")
+    document = {"service": "engines", "target": "v2", "period-s": 60.0}
+    world.store.put("op/rollout/engines", document)
+    rollout = one.view.get_rollout("engines")
+    wait_until(lambda: rollout.order is not None)
+    stage = Stage("engines", rollout.order.index, 3, 1.0)
+    world.store.put(stage_key("engines"), encode_stage(stage))
+    wait_until(lambda: rollout.current_stage and rollout.current_stage.share == 1.0)
+    socks = [Caller(one).open() for _ in range(8)]
+    for sock in socks:
+        sock.sendall(Caller(one).encode(STREAM, "POST", b"x"))
+    wait_until(lambda: "v2" in rollout.bad_versions, 3.0)
+    for sock in socks:
+        sock.close()
