Retries are counted in a sliding window instead of a bucket

A larger model's run is paid from the retry budget and must leave one for failures; an instance's part of the fleet's slack, 2.35 of 184, is also all that its bucket could hold, so that no two second runs could follow each other. Ruled out: the price of reading (slowdown 1.1 at the median), the route's bound. Change: at most the ratio of the first attempts of the last window and the part of the slack, in any window.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -206,6 +206,7 @@
             budgets=BudgetTable(
                 settings.retries.ratio * RETRY_RATIO_USED,
                 settings.retries.slack * RETRY_RATIO_USED,
+                settings.retries.window_s,
                 lambda: max(SMALLEST_FLEET, len(self.view.peers)),
             ),
             tallies=self._book,
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -47,10 +47,11 @@
 
 class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the whole fleet may send again: *ratio* of its first sends and
-    *slack* more in any window."""
+    *slack* more in any *window_s*."""
 
     ratio: Annotated[float, msgspec.Meta(ge=0, le=10)]
     slack: Count
+    window_s: Seconds
 
 
 class RolloutSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -49,7 +49,7 @@
         call.model = call.headers.model
         if call.route.models and call.model is None:
             call.model = parts.cascade.choose_first(call.route)
-        parts.budgets.get(call.service).note_first_attempt()
+        parts.budgets.get(call.service).note_first_attempt(self._read_clock())
         while not self._try_once(call, connection):
             pass
 
@@ -95,16 +95,16 @@
             if call.may_have_run:
                 raise self._refuse_exhausted(call, now) from error
             raise
-        if call.sends and not self._pay(call):
+        if call.sends and not self._pay(call, now):
             call.reasons.append("no retry budget")
             raise self._refuse_exhausted(call, now)
         return upstream
 
-    def _pay(self, call):
+    def _pay(self, call, now):
         if call.paid_ahead:
             call.paid_ahead = False
             return True
-        return self._parts.budgets.get(call.service).take()
+        return self._parts.budgets.get(call.service).take(now)
 
     def _run(self, call, connection, upstream, work):
         parts = self._parts
@@ -201,8 +201,11 @@
             return None
         # Without budget for it the answer at hand must not be given up.
         budget = self._parts.budgets.get(call.service)
-        call.paid_ahead = budget.take(keep=KEPT_FOR_FAILURES)
-        return larger if call.paid_ahead else None
+        call.paid_ahead = budget.take(now, keep=KEPT_FOR_FAILURES)
+        if not call.paid_ahead:
+            call.reasons.append("no budget for a larger model")
+            return None
+        return larger
 
     def _estimate_reading(self, call):
         """Return the milliseconds in which the largest model reads the prompt."""
--- a/src/merlinnotch/_limits/__init__.py
+++ b/src/merlinnotch/_limits/__init__.py
@@ -4,11 +4,13 @@
 from .budget import RetryBudget
 from .queue import FairQueue, Waiter
 from .spread import spread_retry_after
+from .window import RetryWindow
 
 __all__ = [
     "AdaptiveLimit",
     "FairQueue",
     "RetryBudget",
+    "RetryWindow",
     "Waiter",
     "spread_retry_after",
 ]
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -22,6 +22,7 @@
     "bounds.drain-ms": "1500",
     "bounds.retry-ratio": "0.9",
     "bounds.retry-slack": "56",
+    "bounds.retry-window-s": "10",
     "bounds.canary-share": "0.15",
     "bounds.canary-slack": "30",
     "bounds.grace-s": "8",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -90,7 +90,7 @@
     return EntrySettings(
         instance=InstanceSettings(name, "zone-a", *places),
         store=StoreSettings(store_address, 0.5, watch_s),
-        retries=RetrySettings(0.9, 56),
+        retries=RetrySettings(0.9, 56, 10.0),
         rollouts=RolloutSettings(0.15),
         shutdown=ShutdownSettings(grace_s),
     )
