A randomized soak of real processes, with faults from outside

python -m soak, make soak: instances as processes, each behind a loopback proxy to the store; upstreams behind proxies; signals (stop, kill, pause, HUP), cuts both and one way, delays, resets, a store that is down, refuses, loses replies or forgets its history, changes of keys, upstreams that drain, fail, lose answers or break streams off. Checked from what callers and upstreams saw: run twice, refused and run, wrong answers, wrong team or key passed on, keys and draining in force in time, answers cut by a stop, processes that end. Each check has a test that gives it a broken promise. Finding: seed 108 of the first sixteen: a process ended by itself, "Address already in use" on its ready port. Sixteen seeds ran four at a time and their outgoing connections took ports of 127.0.0.1, where the instances listened as well. Each instance has a loopback address of its own now. The seed stays as a case.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo stack test format clean
+.PHONY: demo stack test soak format clean
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 60
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -22,6 +25,9 @@
 	$(PY) -m ruff check .
 	$(PY) -m tests.run
 
+soak: $(STAMP)
+	$(PY) -W ignore -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 format: $(STAMP)
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/upstreams.py
@@ -0,0 +1,76 @@
+"""Upstreams of the soak: they note each run, and fail now and then."""
+
+import eventlet
+
+from merlinnotch._entry.clock import read_clock
+from standins.platform_upstream import StandInUpstream, make_answer, refuse
+
+from .evidence import STREAM_EVENTS, Run, make_body, make_event
+
+PAUSE_S = 0.03
+SLOW_S = 0.6
+KEY_FIELD = "x-credential"
+FAILING = ("refused", "failed", "lost", "slow", "cut")
+
+
+class SoakUpstream(StandInUpstream):
+    """Answers with what belongs to the attempt; *trouble* spoils that.
+
+    *trouble* is one of FAILING or None. *seldom* is the chance that a request
+    meets it.
+    """
+
+    def __init__(self, upstream_id, evidence, generator, streams):
+        super().__init__(self._answer)
+        self.id = upstream_id
+        self.trouble = None
+        self.seldom = 0.3
+        self._evidence = evidence
+        self._generator = generator
+        self._streams = streams
+
+    def _answer(self, request, write):
+        trouble = self.trouble if self._generator.random() < self.seldom else None
+        if trouble == "refused":
+            return refuse(request, write)
+        fields = request.fields
+        attempt = fields.get("x-attempt-id", "")
+        if request.target.startswith("/health"):
+            write(make_answer(request))
+            return True
+        run = Run(
+            attempt,
+            self.id,
+            fields.get("x-tenant"),
+            fields.get(KEY_FIELD) is not None,
+            read_clock(),
+        )
+        self._evidence.runs.append(run)
+        if trouble == "lost":
+            return False
+        if trouble == "failed":
+            write(make_answer(request, b"failed", status=500))
+            return True
+        if trouble == "slow":
+            eventlet.sleep(SLOW_S)
+        if self._streams:
+            return self._stream(request, write, attempt, trouble)
+        eventlet.sleep(self._generator.uniform(0.005, 0.05))
+        write(make_answer(request, make_body(attempt)))
+        return True
+
+    def _stream(self, request, write, attempt, trouble):
+        first = int(request.fields.get("last-event-id", 0)) + 1
+        lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
+        lines += ["content-type: text/event-stream", f"x-attempt-id: {attempt}"]
+        write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        stop_at = self._generator.randint(1, STREAM_EVENTS) if trouble == "cut" else 0
+        for number in range(first, STREAM_EVENTS + 1):
+            event = make_event(attempt, number)
+            if number == stop_at:
+                write(b"%x\r\n%s" % (len(event), event[:5]))
+                return False
+            write(b"%x\r\n%s\r\n" % (len(event), event))
+            eventlet.sleep(PAUSE_S)
+        write(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,36 @@
+"""A short soak of real processes, and plans that are the same for one seed."""
+
+import random
+
+import pytest
+
+from soak.faults import KINDS, plan_faults
+from soak.world import SoakWorld
+
+SEEDS_THAT_FAILED = {
+    108: "a port of 127.0.0.1 was taken by another process; own addresses since",
+}
+LENGTH_S = 8.0
+
+
+def test_a_seed_decides_all_faults():
+    plans = [plan_faults(random.Random(7), 60.0) for _ in range(2)]
+    assert plans[0] == plans[1]
+    assert plans[0] != plan_faults(random.Random(8), 60.0)
+
+
+def test_a_long_plan_holds_every_kind_of_fault():
+    plan = plan_faults(random.Random(1), 300.0)
+    assert {fault.kind for fault in plan} == set(KINDS)
+
+
+@pytest.mark.parametrize("seed", [1, *SEEDS_THAT_FAILED])
+def test_promises_hold_while_faults_come_from_outside(seed, tmp_path):
+    world = SoakWorld(seed, instances=4, folder=tmp_path)
+    try:
+        faults = world.run(LENGTH_S)
+    finally:
+        world.close()
+    assert faults == []
+    answered = sum(one.status == 200 for one in world.evidence.outcomes)
+    assert answered > 100
