--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -11,6 +11,9 @@
 SLOW_S = 0.6
 KEY_FIELD = "x-credential"
 FAILING = ("refused", "failed", "lost", "slow", "cut")
+ALWAYS = 0.06
+"""Chance of one of these at any time, so that each is met some ten times in a
+soak of a quarter of a minute."""
 
 
 class SoakUpstream(StandInUpstream):
@@ -30,7 +33,7 @@
         self._streams = streams
 
     def _answer(self, request, write):
-        trouble = self.trouble if self._generator.random() < self.seldom else None
+        trouble = self._choose_trouble()
         if trouble == "refused":
             return refuse(request, write)
         fields = request.fields
@@ -59,6 +62,11 @@
         write(make_answer(request, make_body(attempt)))
         return True
 
+    def _choose_trouble(self):
+        if self._generator.random() < ALWAYS:
+            return self._generator.choice(FAILING)
+        return self.trouble if self._generator.random() < self.seldom else None
+
     def _stream(self, request, write, attempt, trouble):
         first = int(request.fields.get("last-event-id", 0)) + 1
         lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
