--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -187,7 +187,7 @@
 
     def _build_parts(self):
         settings = self.settings
-        paces = PaceBook()
+        paces = PaceBook(self._find_cost)
         placer = Placer(settings.instance.zone, self._loads, paces)
         versions = VersionChooser(self._generator)
         return GatewayParts(
@@ -220,6 +220,12 @@
         service = configuration.services.get(service_name) if configuration else None
         return service.engine if service else None
 
+    def _find_cost(self, model):
+        configuration = self.view.configuration
+        services = configuration.services.values() if configuration else ()
+        costs = [s.engine.model_costs.get(model) for s in services if s.engine]
+        return next((cost for cost in costs if cost is not None), None)
+
     def measure_backlog(self, upstream_id):
         """Return the milliseconds of reading that wait at an upstream."""
         upstream = self.view.find_upstream(upstream_id)
--- a/src/merlinnotch/_placement/pace.py
+++ b/src/merlinnotch/_placement/pace.py
@@ -14,11 +14,16 @@
 
     Learned from prompts that met little queue: the smallest of the last
     measurements is nearest to the engine's own pace, waiting only adds.
+    *find_cost* returns a model's price, or None. A model that was not seen yet is
+    taken to be as much slower as it is dearer: of two price lists, 15 times dearer
+    was 10 times slower. Until its first prompt was read, an instance that just
+    started would else place large models' prompts as if they were small.
     """
 
     KEPT = 9
 
-    def __init__(self):
+    def __init__(self, find_cost=lambda model: None):
+        self._find_cost = find_cost
         self._samples = {}
 
     def get(self, model):
@@ -26,9 +31,16 @@
         samples = self._samples.get(model)
         if samples:
             return statistics.quantiles(samples, n=4)[0] if samples[1:] else samples[0]
-        known = [self.get(other) for other in self._samples]
+        known = [self._scale(model, other) for other in self._samples]
         return max(known, default=DEFAULT_MS_PER_TOKEN)
 
+    def _scale(self, model, other):
+        """Return the pace of *model* as far as that of *other* tells it."""
+        cost = self._find_cost(model)
+        other_cost = self._find_cost(other)
+        dearer = max(1.0, cost / other_cost) if cost and other_cost else 1.0
+        return dearer * self.get(other)
+
     def note(self, model, tokens, seconds):
         """Learn from a prompt of *tokens* unread tokens."""
         if tokens < MIN_TOKENS:
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -205,3 +205,17 @@
     assert 0.009 < paces.get("m") < 0.012
     paces.note("m", 10, 5.0)
     assert paces.get("m") < 0.012
+
+
+def test_a_model_not_seen_yet_is_as_much_slower_as_it_is_dearer():
+    costs = {"small": 0.02, "large": 0.3}
+    paces = PaceBook(costs.get)
+    paces.note("small", 10_000, 0.06)
+    assert paces.get("large") == pytest.approx(15 * 0.006)
+    assert paces.get("unknown") == pytest.approx(0.006)
+    paces.note("large", 10_000, 0.5)
+    assert paces.get("large") == pytest.approx(0.05)
+    # A dearer model that was seen says nothing good of a cheaper one.
+    other = PaceBook(costs.get)
+    other.note("large", 10_000, 0.5)
+    assert other.get("small") == pytest.approx(0.05)
