Callers are refused at once where no upstream can be reached

Ruled out: engines that were reachable after all (the prober reached the first 0.2 s after the cut ended). Change: refused at once while no upstream of the service can be connected to, and told to return after 4 s, or a third of the time that is left.

--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -5,6 +5,11 @@
 from .._errors import ErrorKind, RequestRefused
 from .._placement import Work
 
+CUT_RETRY_S = 4.0
+"""Time to come back where no upstream can be connected to. Cuts between zones
+last for seconds, and most callers come back once: told to wait half a second,
+32 of 2,300 used up their one retry during a cut of 5.7 s."""
+
 
 class UpstreamChooser:
     """Puts the decisions of splits, roll-outs and placement together."""
@@ -35,6 +40,13 @@
         Raises :class:`RequestRefused` where there is none left.
         """
         listed = self._view.list_upstreams(call.service)
+        if listed and not self._placer.list_reachable(listed):
+            # Trying them all once more would take a quarter second each.
+            raise RequestRefused(
+                ErrorKind.NO_UPSTREAM,
+                f"none of {len(listed)} reachable",
+                retry_after_s=CUT_RETRY_S,
+            )
         untried = [u for u in listed if u.id not in call.tried]
         rollout = self._view.get_rollout(call.service)
         accepts = self._versions.choose(call.service, rollout, call.headers.session)
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -52,6 +52,10 @@
         home = _find_home(reachable, work.home_key)
         return min(reachable, key=lambda u: self._rate_engine(u, work, home, now))
 
+    def list_reachable(self, upstreams):
+        """Return those of *upstreams* that can be connected to, as far as known."""
+        return self._loads.list_reachable(upstreams)
+
     def count_missing(self, upstream, work, home=None):
         """Return the tokens of the prompt that *upstream* probably has to read."""
         cache = self._loads.get(upstream).cache
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -12,7 +12,16 @@
     reset,
     stream,
 )
-from tests.platform_world import ONCE, PLAIN, SIZED, STREAM, read_to_end, wait_until
+from tests.platform_world import (
+    ONCE,
+    PLAIN,
+    PORTS,
+    SIZED,
+    STREAM,
+    Caller,
+    read_to_end,
+    wait_until,
+)
 
 
 def count_runs(world):
@@ -252,3 +261,19 @@
     world.add_upstream("i-1", hang)
     with eventlet.Timeout(1.0):
         assert caller.send(PLAIN, x_deadline_ms="200").status == 504
+
+
+def test_where_no_upstream_is_reached_callers_are_refused_at_once_for_longer(world):
+    address = PORTS.pick("127.0.0.1")
+    world.list_upstream("i-1", "engines", address)
+    caller = Caller(world.add_instance())
+    assert caller.send(STREAM, "POST", b"x").status == 503
+    again = caller.send(STREAM, "POST", b"x", x_deadline_ms="12000")
+    assert again.status == 503
+    # A third of what the route allows, not half a second.
+    assert 1.0 < float(again.fields["retry-after"]) <= 1.2
+    short = caller.send(STREAM, "POST", b"x", x_deadline_ms="1500")
+    assert float(short.fields["retry-after"]) <= 0.45
+    upstream = StandInUpstream(stream(), address)
+    wait_until(lambda: caller.send(STREAM, "POST", b"x").status == 200, 4.0)
+    upstream.close()
