--- a/soak/instances.py
+++ b/soak/instances.py
@@ -73,6 +73,8 @@
             env={"MERLINNOTCH_CONFIG": str(self._path)},
             stdout=log,
             stderr=log,
+            # Stopped, it would end this group by SIGHUP if its shell went away.
+            start_new_session=True,
         )
         log.close()
         self.is_ours_to_end = False
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,5 +1,6 @@
 """A short soak of real processes, and plans that are the same for one seed."""
 
+import os
 import random
 
 import pytest
@@ -34,3 +35,13 @@
     assert faults == []
     answered = sum(one.status == 200 for one in world.evidence.outcomes)
     assert answered > 100
+
+
+def test_processes_are_no_part_of_the_group_of_the_soak(tmp_path):
+    world = SoakWorld(3, instances=1, folder=tmp_path)
+    try:
+        instance = world.instances[0]
+        instance.start()
+        assert os.getpgid(instance.process.pid) != os.getpgrp()
+    finally:
+        world.close()
