--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -16,13 +16,14 @@
 
 @dataclass(frozen=True)
 class Run:
-    """A request that an upstream worked on."""
+    """A request that an upstream worked on; *spoiled* says that it broke off."""
 
     attempt: str
     upstream: str
     team: str | None
     saw_key: bool
     began_at: float
+    spoiled: bool = False
 
 
 @dataclass(frozen=True)
@@ -149,13 +150,20 @@
 
 
 def _check_stops(evidence):
-    """*stopped* are (instance, instant of SIGTERM, instant of its end)."""
+    """*stopped* are (instance, instant of SIGTERM, instant of its end).
+
+    An answer whose last upstream broke off was not cut by the stop.
+    """
+    last_runs = {run.attempt: run for run in evidence.runs}
     for instance, asked_at, ended_at in evidence.stopped:
         if not evidence.is_calm(instance, asked_at - STABLE_S, asked_at):
             continue
         for outcome in evidence.outcomes:
             crossed = outcome.sent_at < asked_at < outcome.ended_at <= ended_at
-            if outcome.instance == instance and crossed and outcome.status == 0:
+            if outcome.instance != instance or not crossed or outcome.status:
+                continue
+            last_run = last_runs.get(outcome.attempt)
+            if last_run is None or not last_run.spoiled:
                 yield f"cut by a stop: {outcome.attempt} {instance}"
 
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -11,6 +11,7 @@
 SLOW_S = 0.6
 KEY_FIELD = "x-credential"
 FAILING = ("refused", "failed", "lost", "slow", "cut")
+BREAKING = ("failed", "lost", "cut")
 ALWAYS = 0.06
 """Chance of one of these at any time, so that each is met some ten times in a
 soak of a quarter of a minute."""
@@ -47,6 +48,7 @@
             fields.get("x-tenant"),
             fields.get(KEY_FIELD) is not None,
             read_clock(),
+            spoiled=trouble in BREAKING,
         )
         self._evidence.runs.append(run)
         if trouble == "lost":
--- a/tests/soak/test_evidence.py
+++ b/tests/soak/test_evidence.py
@@ -83,6 +83,12 @@
     note(evidence, RUN, status=0, is_whole=False)
     evidence.stopped.append(("one", 10.1, 11.0))
     assert "cut by a stop" in find_faults(evidence)[0]
+    # The upstream's breaking off is no fault of the stop, an earlier one's is.
+    spoiled = dataclasses.replace(RUN, spoiled=True)
+    evidence.runs.append(spoiled)
+    assert find_faults(evidence) == []
+    evidence.runs.append(RUN)
+    assert "cut by a stop" in find_faults(evidence)[0]
 
 
 def test_a_process_that_ends_by_itself_is_found(evidence):
