--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -86,7 +86,7 @@
         self.store.close()
 
 
-def make_settings(store_address, name, watch_s, grace_s, in_force_ms):
+def make_settings(store_address, name, watch_s, grace_s, in_force_ms=2000):
     """Return settings on free ports of this machine."""
     places = [PORTS.pick("127.0.0.1") for _ in range(4)]
     return EntrySettings(
