One rendezvous hashing for the whole product; names for what stood twice

Behaviour stays, but for which instances come first: the feed, the judges and the home of a prompt each had a hash of their own beside _peers/rendezvous.py, which now is _rendezvous.py. Stage.takes_all replaces a comparison that stood in several places; the feed's audience is worked out in one method instead of two guards.

--- a/src/merlinnotch/_entry/feed.py
+++ b/src/merlinnotch/_entry/feed.py
@@ -1,11 +1,11 @@
 """Changes of the store, passed on within an availability zone."""
 
-import hashlib
 from dataclasses import dataclass
 
 import eventlet
 import eventlet.queue
 
+from .._rendezvous import rank
 from .._store import Changes, Item
 from .datagrams import MessageKind
 
@@ -62,13 +62,11 @@
     def is_watcher(self):
         """Return whether this instance is one of those that watch."""
         names = {p.name for p in self._list_zone()} | {self._name}
-        first = sorted(names, key=_rank)[:WATCHERS]
-        return self._name in first
+        return self._name in rank(self._zone, names, WATCHERS)
 
     def limit_watch(self, watch_s):
         """Return how long a watch may take so that others don't give up on it."""
-        others = [p for p in self._list_zone() if p.name != self._name]
-        if len(others) < WATCHERS or not self.is_watcher():
+        if not self._list_audience():
             return watch_s
         return min(watch_s, self._fresh_s - WATCH_MARGIN_S)
 
@@ -80,13 +78,13 @@
 
     def tell(self, since, index, changes, store_was_away):
         """Pass a reply of the store on, where this instance is a watcher."""
-        others = [p.address for p in self._list_zone() if p.name != self._name]
-        if len(others) < WATCHERS or not self.is_watcher():
+        audience = self._list_audience()
+        if not audience:
             return
         rows = None if changes is None else _encode_changes(changes)
         for body_rows in (rows, None):
             body = [self._address, since, index, body_rows, store_was_away]
-            if self._port.send(MessageKind.CHANGES, body, others):
+            if self._port.send(MessageKind.CHANGES, body, audience):
                 return
 
     def wait(self, wait_s):
@@ -106,15 +104,17 @@
         )
         self._heard_at = self._read_clock()
 
+    def _list_audience(self):
+        """Return the addresses that hear of changes from this instance, if any."""
+        others = [p.address for p in self._list_zone() if p.name != self._name]
+        if len(others) < WATCHERS or not self.is_watcher():
+            return []
+        return others
+
     def _list_zone(self):
         return [p for p in self._view.list_present_peers() if p.zone == self._zone]
 
 
-def _rank(name):
-    """Return a fixed order in which neighbours of one rack are not together."""
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
-
-
 def _encode_changes(changes):
     written = [[i.key, i.value, i.modify_index] for i in changes.written]
     return [written, list(changes.deleted)]
--- a/src/merlinnotch/_entry/tallies.py
+++ b/src/merlinnotch/_entry/tallies.py
@@ -1,7 +1,6 @@
 """Tallies of answers for those who judge a version, and their verdicts."""
 
-import hashlib
-
+from .._rendezvous import rank
 from .._rollout import Tally, TallyKey
 from .datagrams import MessageKind
 
@@ -35,7 +34,7 @@
     def rank_instances(self, service):
         """Return the names of all instances in the order in which they lead."""
         names = {p.name for p in self._view.list_present_peers()} | {self._name}
-        return sorted(names, key=lambda name: rank(service, name))
+        return rank(service, names)
 
     def list_judges(self, service):
         """Return the names of those who hear all tallies of *service*."""
@@ -76,8 +75,3 @@
     def _take_verdict(self, body):
         service, order, target = body
         self._on_verdict(service, order, target)
-
-
-def rank(service, name):
-    """Return a fixed order for each service, with a zone's instances apart."""
-    return hashlib.blake2b(f"{service} {name}".encode(), digest_size=8).digest()
--- a/src/merlinnotch/_fleet/rollout.py
+++ b/src/merlinnotch/_fleet/rollout.py
@@ -50,3 +50,8 @@
     share: float
     age_s: float = 0.0
     index: int = 0
+
+    @property
+    def takes_all(self):
+        """Whether all of the traffic goes to the new version."""
+        return self.share >= 1.0
--- a/src/merlinnotch/_peers/__init__.py
+++ b/src/merlinnotch/_peers/__init__.py
@@ -1,5 +1,6 @@
 """What instances know of each other, and how they tell it."""
 
+from .._rendezvous import rank, rank_first
 from .beat import Beat
 from .gossip import GossipState
 from .leaving import Leaving
@@ -25,7 +26,6 @@
     encode_message,
 )
 from .quarantine import Quarantine
-from .rendezvous import rank, rank_first
 from .report import REPORT_EVERY_S, MemberReport, ZoneReport
 from .tally import InstanceTally, Tally
 from .zone import ZoneView
--- a/src/merlinnotch/_peers/membership.py
+++ b/src/merlinnotch/_peers/membership.py
@@ -1,6 +1,6 @@
 """Judging which instances are alive, and whom to talk to."""
 
-from .rendezvous import rank, rank_first
+from .._rendezvous import rank, rank_first
 
 SUSPECT_S = 6.0
 FAR_SUSPECT_S = 24.0
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -1,8 +1,9 @@
 """Choosing the upstream for one request."""
 
-import hashlib
 from dataclasses import dataclass
 
+from .._rendezvous import rank_first
+
 ZONE_PENALTY_MS = 3.0
 """A request stays in its zone unless another upstream is that much sooner: the
 way there and back takes 1 to 2 ms and its bytes are paid for."""
@@ -124,8 +125,5 @@
     """
     if not key:
         return None
-    return max(candidates, key=lambda u: _digest(key, u.id))
-
-
-def _digest(key, upstream_id):
-    return hashlib.blake2b(f"{key} {upstream_id}".encode(), digest_size=8).digest()
+    by_id = {upstream.id: upstream for upstream in candidates}
+    return by_id[rank_first(key, by_id)]
--- a/src/merlinnotch/_peers/rendezvous.py
+++ b/src/merlinnotch/_rendezvous.py
@@ -12,8 +12,8 @@
     return max(names, key=lambda name: _weigh(key, name), default=None)
 
 
-def rank(key, names, count):
-    """Return the first *count* names for *key*, best first."""
+def rank(key, names, count=None):
+    """Return the first *count* names for *key*, or all of them, best first."""
     return sorted(names, key=lambda name: _weigh(key, name), reverse=True)[:count]
 
 
--- a/src/merlinnotch/_rollout/chooser.py
+++ b/src/merlinnotch/_rollout/chooser.py
@@ -49,7 +49,7 @@
         stage = rollout.current_stage
         if stage is None:
             return False
-        if stage.share >= 1.0:
+        if stage.takes_all:
             return True
         if session is None:
             return self._take_turn(service, stage.share)
@@ -68,4 +68,4 @@
 
     def _is_settled(self, rollout):
         stage = rollout.current_stage
-        return stage is not None and stage.share >= 1.0
+        return stage is not None and stage.takes_all
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -6,9 +6,9 @@
 import pytest
 
 from merlinnotch._entry import conductor, tallies
-from merlinnotch._entry.tallies import rank
 from merlinnotch._fleet import Stage
 from merlinnotch._fleet.records import decode_record, encode_stage, stage_key
+from merlinnotch._rendezvous import rank
 from standins.platform_upstream import answer, stream
 from tests.platform_world import PLAIN, PORTS, STREAM, Caller, wait_until
 
@@ -171,9 +171,7 @@
     monkeypatch.setattr(conductor, "TELL_S", 1.0)
     world.add_upstream("i-1")
     world.add_upstream("i-2", version="v2")
-    names = sorted(
-        (f"name-{number}" for number in range(9)), key=lambda n: rank("app", n)
-    )
+    names = rank("app", [f"name-{number}" for number in range(9)])
     for name in names[1:3]:
         world.add_instance(name)
     traffic()
@@ -182,7 +180,8 @@
     wait_until(lambda: (read_stage(world) or Stage("app", 0, 0, 0.0)).number == 2)
     # It is the first in turn, and knows nothing of the requests so far.
     late = world.add_instance(names[0])
-    assert rank("app", late.settings.instance.name) < rank("app", names[1])
+    running = [one.settings.instance.name for one in world.instances]
+    assert rank("app", running, 1) == [late.settings.instance.name]
     wait_until(lambda: read_stage(world).number == 3, 8.0)
     assert read_stage(world).age_s > 4.8
 
@@ -194,9 +193,8 @@
     for name in ("one", "two", "three"):
         world.add_instance(name)
     wait_until(lambda: all(len(one.view.peers) == 3 for one in world.instances))
-    first = min(
-        world.instances, key=lambda one: rank("app", one.settings.instance.name)
-    )
+    by_name = {one.settings.instance.name: one for one in world.instances}
+    first = by_name[rank("app", by_name, 1)[0]]
     first.store.move_to(PORTS.pick("127.0.0.1"))
     traffic()
     document = {"service": "app", "target": "v2", "period-s": 4.0}
