Each of several roll-outs tells its judges its own counters

Cause: TallyBook.changed and the instant of the last telling were kept once for all services; of two roll-outs at once the first told ten times in 5 s, the other never. Ruled out: lost messages. Change: kept for each order.

--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -14,14 +14,14 @@
 logger = logging.getLogger("merlinnotch")
 
 TICK_S = 0.25
-TELL_S = 0.5
-"""How often tallies go to the judges while they change; in the last stage, which
-lasts some two seconds, with each tick."""
 LAST_TICK_S = 0.1
-"""The same in a last stage, whose end is due to the tenth of a second."""
+"""The tick in a last stage, whose end is due to the tenth of a second."""
+TELL_S = 0.5
+"""How often counters that changed go to the judges; in the last stage, which
+lasts some two seconds, every TICK_S."""
 HEAR_S = 1.2
-"""How long an instance listens before it leads: by then each of the others has
-told its counters at least once. One that restarted would think that the new
+"""How long an instance listens before it leads: by then each of the others whose
+counters change has told them. One that restarted would think that the new
 version was hardly used, and move all traffic to it too early."""
 TURN_S = 0.7
 """How much longer each next instance waits before it does what is due; the
@@ -44,7 +44,7 @@
         self._schedule = schedule
         self._name = name
         self._read_clock = read_clock
-        self._told_at = 0.0
+        self._told_at = {}
         self._orders = {}
         self._seen_at = {}
         self._convicted_at = {}
@@ -126,7 +126,7 @@
             self._write_state(service, rollout, RolloutState.COMPLETE)
 
     def _is_done(self, stage, age_s, period_s):
-        if stage is None or stage.share < 1.0:
+        if stage is None or not stage.takes_all:
             return False
         return self._schedule.is_complete(age_s, period_s, age_s - stage.age_s)
 
@@ -154,17 +154,16 @@
         logger.info("roll-out state written", extra=fields)
 
     def _tell_judges(self, rollout, now):
-        stage = rollout.current_stage
-        is_last = stage is not None and stage.share >= 1.0
-        pause_s = TICK_S if is_last else TELL_S
-        if self._book.changed and now - self._told_at >= pause_s:
-            self._told_at = now
-            self._book.changed = False
-            self._news.tell_judges(rollout.order)
+        order = rollout.order
+        pause_s = TICK_S if _takes_all(rollout) else TELL_S
+        if now - self._told_at.get(order.service, -TELL_S) < pause_s:
+            return
+        if self._book.take_changed(order):
+            self._told_at[order.service] = now
+            self._news.tell_judges(order)
 
     def _is_ending(self):
-        stages = [r.current_stage for _, r in self._view.list_active_rollouts()]
-        return any(stage is not None and stage.share >= 1.0 for stage in stages)
+        return any(_takes_all(r) for _, r in self._view.list_active_rollouts())
 
     def _may_lead(self, service):
         """Return whether this instance hears the tallies that stages go by."""
@@ -172,3 +171,8 @@
 
     def _wait_for_turn(self, service):
         return self._news.rank_instances(service).index(self._name) * TURN_S
+
+
+def _takes_all(rollout):
+    stage = rollout.current_stage
+    return stage is not None and stage.takes_all
--- a/src/merlinnotch/_rollout/tallies.py
+++ b/src/merlinnotch/_rollout/tallies.py
@@ -59,14 +59,14 @@
 
     def __init__(self, incarnation):
         self.incarnation = incarnation
-        self.changed = False
+        self._changed = set()
         self._counts = {}
         self._totals = {}
 
     def note(self, key, bad, slow=False):
         """Count one answer seen by this instance."""
         self._add(key, self.incarnation, Tally(1, int(bad), int(slow)))
-        self.changed = True
+        self._changed.add((key.service, key.order))
 
     def merge(self, key, incarnation, tally):
         """Take the state of another instance's counter."""
@@ -100,12 +100,20 @@
             if self.incarnation in self._counts[key]
         ]
 
+    def take_changed(self, order):
+        """Return whether own counters changed since this was asked for *order*."""
+        wanted = (order.service, order.index)
+        has_changed = wanted in self._changed
+        self._changed.discard(wanted)
+        return has_changed
+
     def forget_before(self, order):
         """Drop the counts of earlier orders for the same service."""
         for key in list(self._counts):
             if key.service == order.service and key.order < order.index:
                 del self._counts[key]
                 del self._totals[key]
+                self._changed.discard((key.service, key.order))
 
     def _add(self, key, incarnation, step):
         counts = self._counts.setdefault(key, {})
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -6,9 +6,11 @@
 import pytest
 
 from merlinnotch._entry import conductor, tallies
-from merlinnotch._fleet import Stage
+from merlinnotch._fleet import RolloutOrder, Stage
 from merlinnotch._fleet.records import decode_record, encode_stage, stage_key
+from merlinnotch._fleet.view import FleetView
 from merlinnotch._rendezvous import rank
+from merlinnotch._rollout import Schedule, TallyBook, TallyKey
 from standins.platform_upstream import answer, stream
 from tests.platform_world import PLAIN, PORTS, STREAM, Caller, wait_until
 
@@ -203,3 +205,39 @@
     assert read_stage(world) is None
     first.store.move_to(world.store.address)
     wait_until(lambda: read_stage(world) is not None, 12.0)
+
+
+class RecordingPort:
+    """Notes the service of each message instead of sending it."""
+
+    def __init__(self):
+        self.services = []
+
+    def handle(self, kind, handler):
+        """Take no messages."""
+
+    def send(self, kind, body, addresses):
+        """Note what the message is about."""
+        self.services.append(body[0])
+        return True
+
+
+def test_two_roll_outs_at_once_both_tell_their_counters():
+    view = FleetView(lambda *item: None)
+    book = TallyBook("one")
+    port = RecordingPort()
+    now = 100.0
+    schedule = Schedule(0.15, 30.0)
+    lead = conductor.Conductor(None, view, book, port, schedule, "one", lambda: now)
+    for index, service in enumerate(("app", "engines")):
+        rollout = view.get_rollout(service)
+        rollout.order = RolloutOrder(service, "v2", 24.0, index)
+        rollout.seen_at = now
+    for _ in range(20):
+        now += conductor.TICK_S
+        for service, rollout in view.list_active_rollouts():
+            key = TallyKey(service, "v1", "route", rollout.order.index)
+            book.note(key, bad=False)
+            lead._tell_judges(rollout, now)
+    assert port.services.count("app") == 10
+    assert port.services.count("engines") == 10
