--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,22 @@
 MEAN_PAUSE_S = 0.7
 LONGEST_S = 3.0
 RESTART_S = 0.3
+KINDS = (
+    "configure",
+    "cut_store",
+    "cut_upstream",
+    "drain",
+    "hang_up",
+    "kill",
+    "pause",
+    "reset_store",
+    "reset_upstream",
+    "spoil_store",
+    "spoil_upstream",
+    "stop",
+)
+"""Each names a method of :class:`FaultMaker`; a seed's plan depends on the order."""
+HARMS = (Harm.SILENCE, Harm.ONE_WAY, Harm.DELAY)
 
 
 @dataclass(frozen=True)
@@ -86,12 +102,14 @@
         instance.send(signal.SIGHUP)
 
     def _cut_store(self, fault):
-        harms = (Harm.SILENCE, Harm.ONE_WAY, Harm.DELAY)
         instance = self._pick(self._world.instances, fault)
         with self._disturbed([instance]):
-            instance.store.harm = harms[fault.target % 3]
-            eventlet.sleep(fault.for_s)
-            instance.store.harm = Harm.NONE
+            self._harm(instance.store, fault)
+
+    def _harm(self, proxy, fault):
+        proxy.harm = HARMS[fault.target % len(HARMS)]
+        eventlet.sleep(fault.for_s)
+        proxy.harm = Harm.NONE
 
     def _reset_store(self, fault):
         instance = self._pick(self._world.instances, fault)
@@ -116,11 +134,7 @@
             store.lost = 0
 
     def _cut_upstream(self, fault):
-        proxy = self._pick(self._world.proxies, fault)
-        harms = (Harm.SILENCE, Harm.ONE_WAY, Harm.DELAY)
-        proxy.harm = harms[fault.target % 3]
-        eventlet.sleep(fault.for_s)
-        proxy.harm = Harm.NONE
+        self._harm(self._pick(self._world.proxies, fault), fault)
 
     def _reset_upstream(self, fault):
         self._pick(self._world.proxies, fault).reset()
@@ -169,14 +183,3 @@
             spans = self._evidence.disturbed[name]
             spans.remove((self._start, float("inf")))
             spans.append((self._start, read_clock()))
-
-
-KINDS = tuple(
-    sorted(
-        name[1:]
-        for name in vars(FaultMaker)
-        if name.startswith("_")
-        and not name.startswith("__")
-        and name not in ("_restart", "_take", "_pick", "_disturbed")
-    )
-)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -3,7 +3,12 @@
 import eventlet
 
 from merlinnotch._entry.clock import read_clock
-from standins.platform_upstream import StandInUpstream, make_answer, refuse
+from standins.platform_upstream import (
+    StandInUpstream,
+    make_answer,
+    refuse,
+    write_stream,
+)
 
 from .evidence import STREAM_EVENTS, Run, make_body, make_event
 
@@ -71,16 +76,9 @@
 
     def _stream(self, request, write, attempt, trouble):
         first = int(request.fields.get("last-event-id", 0)) + 1
-        lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
-        lines += ["content-type: text/event-stream", f"x-attempt-id: {attempt}"]
-        write("\r\n".join(lines).encode() + b"\r\n\r\n")
         stop_at = self._generator.randint(1, STREAM_EVENTS) if trouble == "cut" else 0
-        for number in range(first, STREAM_EVENTS + 1):
-            event = make_event(attempt, number)
-            if number == stop_at:
-                write(b"%x\r\n%s" % (len(event), event[:5]))
-                return False
-            write(b"%x\r\n%s\r\n" % (len(event), event))
-            eventlet.sleep(PAUSE_S)
-        write(b"0\r\n\r\n")
-        return True
+        events = [
+            (number, make_event(attempt, number))
+            for number in range(first, STREAM_EVENTS + 1)
+        ]
+        return write_stream(request, write, events, stop_at, pause_s=PAUSE_S)
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -84,24 +84,36 @@
 
     def script(request, write):
         begin = int(request.fields.get("last-event-id", first - 1)) + 1
-        lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
-        lines.append("content-type: text/event-stream")
-        lines.append(f"x-attempt-id: {request.fields.get('x-attempt-id', '')}")
-        lines += [f"{name}: {value}" for name, value in extra]
-        write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(begin, last + 1):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            if stop_after is not None and number > stop_after:
-                write(b"%x\r\n%s" % (len(event), event[:7]))
-                return False
-            write(b"%x\r\n%s\r\n" % (len(event), event))
-            eventlet.sleep(pause_s)
-        write(b"0\r\n\r\n")
-        return True
+        stop_at = None if stop_after is None else max(begin, stop_after + 1)
+        events = [
+            (number, b"id: %d\ndata: piece %d\n\n" % (number, number))
+            for number in range(begin, last + 1)
+        ]
+        return write_stream(request, write, events, stop_at, extra, pause_s)
 
     return script
 
 
+def write_stream(request, write, events, stop_at=None, extra=(), pause_s=0.0):
+    """Write (number, bytes) *events* as a stream; break off within *stop_at*.
+
+    Returns whether the connection stays open.
+    """
+    lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
+    lines.append("content-type: text/event-stream")
+    lines.append(f"x-attempt-id: {request.fields.get('x-attempt-id', '')}")
+    lines += [f"{name}: {value}" for name, value in extra]
+    write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    for number, event in events:
+        if number == stop_at:
+            write(b"%x\r\n%s" % (len(event), event[:7]))
+            return False
+        write(b"%x\r\n%s\r\n" % (len(event), event))
+        eventlet.sleep(pause_s)
+    write(b"0\r\n\r\n")
+    return True
+
+
 def hang(request, write):
     """Never answer."""
     eventlet.sleep(3600)
