Instances tell each other all long prompts, reports and the pace of engines

The bound of a told prompt grew with the fleet: at 80 instances only prompts of 300 ms were told, each instance knew an eightieth of what engines had to read, and of several idle ones all picked the first. Slowdowns above 2 were never seen (62 of 5,798 requests) though streams took 3.5 times as long as unloaded ones.

Change: every prompt of 30 ms is told; up to 100 instances tell everyone, more tell their zone, and two instances of a zone send sums to one instance of each other zone. What engines say of their load and how slow their streams are is told too, at most 60 times a second. Equal upstreams are taken in an order of the instance's own.

--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -15,10 +15,12 @@
 class MessageKind(enum.IntEnum):
     """What a datagram is about."""
 
-    WORK = 1
+    LOAD = 1
     CHANGES = 2
     TALLY = 3
     VERDICT = 4
+    LOAD_SUMS = 5
+    LOAD_PASSED_ON = 6
 
 
 class DatagramPort:
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -37,7 +37,7 @@
 from .feed import ZoneFeed
 from .follower import Follower
 from .metrics import EntryMetrics
-from .news import WorkNews
+from .news import LoadNews
 from .peers import PeerClient, PeerPages
 
 logger = logging.getLogger("merlinnotch")
@@ -80,7 +80,9 @@
         self._peers = PeerClient(name, self.view, read_clock, self.metrics)
         place = settings.instance
         self.datagrams = DatagramPort(place.peer_address)
-        self.news = WorkNews(self.datagrams, name, self.view, self._note_work)
+        self.news = LoadNews(
+            self.datagrams, name, place.zone, self.view, read_clock, self._take_load
+        )
         self.feed = ZoneFeed(
             self.datagrams,
             name,
@@ -139,6 +141,7 @@
             self._announcer.run,
             self._conductor.run,
             self.datagrams.run,
+            self.news.run,
             self._sweep,
         ):
             self._tasks.append(eventlet.spawn(_run_forever, task))
@@ -199,9 +202,7 @@
             placer=placer,
             cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
             chooser=UpstreamChooser(self.view, versions, placer, self._generator),
-            attempts=AttemptMaker(
-                self.pool, self._loads, paces, read_clock, self.news.tell
-            ),
+            attempts=AttemptMaker(self.pool, self._loads, paces, read_clock, self.news),
             prober=Prober(self.pool, self._loads, self.view),
             budgets=BudgetTable(
                 settings.retries.ratio * RETRY_RATIO_USED,
@@ -209,6 +210,7 @@
                 settings.retries.window_s,
                 lambda: max(SMALLEST_FLEET, len(self.view.peers)),
             ),
+            news=self.news,
             tallies=self._book,
             speeds=SpeedBook(),
             metrics=self.metrics,
@@ -231,14 +233,22 @@
         upstream = self.view.find_upstream(upstream_id)
         return self._loads.get(upstream).backlog.measure(read_clock())
 
-    def _note_work(self, upstream_id, reading_ms):
-        upstream = self.view.find_upstream(upstream_id)
-        if upstream is not None:
-            self._loads.get(upstream).backlog.note(reading_ms, read_clock())
+    def _take_load(self, row):
+        upstream = self.view.find_upstream(row.upstream_id)
+        if upstream is None:
+            return
+        now = read_clock()
+        load = self._loads.get(upstream)
+        load.backlog.note(row.reading_ms, now)
+        if row.running is not None:
+            load.note_report(row.running, row.waiting, now)
+        if row.slowdown is not None:
+            load.set_slowdown(row.slowdown, now)
 
     def _drop_upstream(self, upstream_id):
         self.pool.drop(upstream_id)
         self._loads.drop(upstream_id)
+        self.news.forget(upstream_id)
 
     def _sweep(self):
         while True:
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -42,16 +42,16 @@
 class AttemptMaker:
     """Sends a call to an upstream and reads the head of the answer.
 
-    *tell_work* is called with the upstream's id and the milliseconds that its
-    prompt takes to read.
+    *news* tells the other instances of prompts that are sent and of what engines
+    say of their load.
     """
 
-    def __init__(self, pool, loads, paces, read_clock, tell_work):
+    def __init__(self, pool, loads, paces, read_clock, news):
         self._pool = pool
         self._loads = loads
         self._paces = paces
         self._read_clock = read_clock
-        self._tell_work = tell_work
+        self._news = news
 
     def make(self, call, upstream, work, estimate, until):
         """Return an :class:`Attempt`; *estimate* is what was expected of it.
@@ -67,7 +67,7 @@
         if work.model:
             load.cache.note(work.model, work.prompt)
             load.backlog.note(estimate.reading_ms, started_at)
-            self._tell_work(upstream.id, estimate.reading_ms)
+            self._news.tell_work(upstream, estimate.reading_ms)
         call.may_have_run = True
         try:
             urgency = choose_urgency(estimate.reading_ms) if work.model else None
@@ -103,6 +103,8 @@
         note = read_answer(head.fields)
         if note.running is not None:
             load.note_report(note.running, note.waiting, now)
+            if call.model:
+                self._news.tell_report(upstream, note.running, note.waiting)
         if is_not_run(head.status, head.fields):
             self._give_back_short(upstream, connection, now)
             raise NotRun(f"status {head.status}")
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -31,6 +31,7 @@
     attempts: AttemptMaker
     prober: Prober
     budgets: BudgetTable
+    news: object
     tallies: TallyBook
     speeds: SpeedBook
     metrics: object
--- a/src/merlinnotch/_gateway/results.py
+++ b/src/merlinnotch/_gateway/results.py
@@ -27,6 +27,7 @@
         slowdown = parts.gaps.note(call.model, seconds)
         load = parts.loads.get(attempt.upstream)
         load.note_slowdown(slowdown, self._read_clock())
+        parts.news.tell_slowdown(attempt.upstream, load.slowdown)
         if not attempt.is_judged and attempt.events >= MIN_PACED_EVENTS:
             self._judge(call, attempt)
 
--- a/src/merlinnotch/_placement/load.py
+++ b/src/merlinnotch/_placement/load.py
@@ -32,11 +32,13 @@
     and *waiting* are the upstream's own words at *reported_at*, *own_then* our
     requests at that time.
     *reachable* is false from a failed connection until one comes about.
+    *order* decides between upstreams that are as good as each other.
     *slowdown* is how many times slower than unloaded its streams went at
     *paced_at*.
     """
 
     cache: PrefixCache
+    order: float = 0.0
     in_flight: int = 0
     backlog: Backlog = field(default_factory=Backlog)
     running: int = 0
@@ -82,6 +84,11 @@
         self.slowdown = known + SLOWDOWN_WEIGHT * (slowdown - known)
         self.paced_at = now
 
+    def set_slowdown(self, slowdown, now):
+        """Take another instance's word of how slow streams are there."""
+        self.slowdown = slowdown
+        self.paced_at = now
+
     def measure_slowdown(self, now):
         """Return how many times slower than unloaded streams are there, from 1."""
         age = max(0.0, now - self.paced_at)
--- a/src/merlinnotch/_placement/loads.py
+++ b/src/merlinnotch/_placement/loads.py
@@ -1,5 +1,7 @@
 """The loads of all upstreams that one instance sends to."""
 
+import random
+
 from .cache import MEMORY_SHARE, PrefixCache
 from .load import UpstreamLoad
 
@@ -9,11 +11,13 @@
 class LoadTable:
     """One :class:`UpstreamLoad` for each incarnation of an upstream.
 
-    *find_engine* maps a service's name to its engine, or None.
+    *find_engine* maps a service's name to its engine, or None. Each instance draws
+    an order of its own: all would else pick the same one of several idle ones.
     """
 
-    def __init__(self, find_engine):
+    def __init__(self, find_engine, generator=random):
         self._find_engine = find_engine
+        self._generator = generator
         self._loads = {}
 
     def get(self, upstream):
@@ -22,7 +26,8 @@
         if load is None:
             engine = self._find_engine(upstream.service)
             tokens = engine.memory_tokens if engine else DEFAULT_MEMORY_TOKENS
-            load = UpstreamLoad(PrefixCache(int(tokens * MEMORY_SHARE)))
+            cache = PrefixCache(int(tokens * MEMORY_SHARE))
+            load = UpstreamLoad(cache, self._generator.random())
             self._loads[upstream.id] = load
         return load
 
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -67,9 +67,11 @@
             return None
         reachable = self._loads.list_reachable(candidates) or candidates
         if work.model is None:
-            return min(reachable, key=lambda u: self._rate_plain(u, now))
+            return self._pick_least(reachable, lambda u: self._rate_plain(u, now))
         home = _find_home(reachable, work.home_key)
-        return min(reachable, key=lambda u: self._rate_engine(u, work, home, now))
+        return self._pick_least(
+            reachable, lambda u: self._rate_engine(u, work, home, now)
+        )
 
     def list_reachable(self, upstreams):
         """Return those of *upstreams* that can be connected to, as far as known."""
@@ -95,6 +97,9 @@
             self._loads.get(upstream).backlog.measure(now),
         )
 
+    def _pick_least(self, upstreams, rate):
+        return min(upstreams, key=lambda u: (rate(u), self._loads.get(u).order))
+
     def _rate_plain(self, upstream, now):
         load = self._loads.get(upstream)
         busy = load.estimate_busy(now) / max(1, upstream.slots)
