--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -10,25 +10,10 @@
 from .._fleet.mirror import Mirror
 from .._fleet.records import decode_record
 from .._fleet.view import FleetView
-from .._gateway import (
-    AttemptMaker,
-    BudgetTable,
-    Forwarder,
-    Gateway,
-    GatewayParts,
-    Prober,
-    UpstreamChooser,
-)
+from .._gateway import Forwarder, Gateway
 from .._http import PageServer, UpstreamPool
-from .._placement import (
-    CascadePolicy,
-    CascadeSettings,
-    GapBook,
-    LoadTable,
-    PaceBook,
-    Placer,
-)
-from .._rollout import Schedule, SpeedBook, TallyBook, VersionChooser
+from .._placement import LoadTable
+from .._rollout import Schedule, TallyBook
 from ..platform import PlatformStore, decode_item
 from .announcer import Announcer
 from .clock import read_clock
@@ -38,16 +23,11 @@
 from .follower import Follower
 from .metrics import EntryMetrics
 from .news import LoadNews
+from .parts import build_parts, find_engine
 from .peers import PeerClient, PeerPages
 
 logger = logging.getLogger("merlinnotch")
 
-RETRY_RATIO_USED = 0.92
-"""Part of the fleet's retry allowance that instances use: their windows and
-that of the whole do not begin at the same time."""
-SMALLEST_FLEET = 8
-"""Instances among which the retry slack is divided at least; more become known
-as soon as they have announced themselves."""
 SWEEP_S = 1.0
 BALANCER_S = 2.5
 """After this long without readiness the balancer sends no new connections: it
@@ -73,7 +53,7 @@
         self.mirror = Mirror()
         self.pool = UpstreamPool(read_clock)
         self.view = FleetView(_decode, self._drop_upstream)
-        self._loads = LoadTable(self._find_engine)
+        self._loads = LoadTable(lambda service: find_engine(self.view, service))
         self._book = TallyBook(f"{settings.instance.name}/{time.time_ns()}")
         self.store = self._build_store(settings.store)
         name = settings.instance.name
@@ -126,7 +106,16 @@
     def start(self):
         """Open all listeners and start all tasks."""
         place = self.settings.instance
-        parts = self._build_parts()
+        parts = build_parts(
+            self.settings,
+            self.view,
+            self.pool,
+            self._loads,
+            self.news,
+            self._book,
+            self.metrics,
+            self._generator,
+        )
         self.gateway = Gateway(
             place.caller_address, Forwarder(parts), parts, sock=self._caller_socket
         )
@@ -188,46 +177,6 @@
             on_call=lambda kind: self.metrics.store_calls.labels(kind).inc(),
         )
 
-    def _build_parts(self):
-        settings = self.settings
-        paces = PaceBook(self._find_cost)
-        placer = Placer(settings.instance.zone, self._loads, paces)
-        versions = VersionChooser(self._generator)
-        return GatewayParts(
-            view=self.view,
-            pool=self.pool,
-            loads=self._loads,
-            paces=paces,
-            gaps=GapBook(),
-            placer=placer,
-            cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
-            chooser=UpstreamChooser(self.view, versions, placer, self._generator),
-            attempts=AttemptMaker(self.pool, self._loads, paces, read_clock, self.news),
-            prober=Prober(self.pool, self._loads, self.view),
-            budgets=BudgetTable(
-                settings.retries.ratio * RETRY_RATIO_USED,
-                settings.retries.slack * RETRY_RATIO_USED,
-                settings.retries.window_s,
-                lambda: max(SMALLEST_FLEET, len(self.view.peers)),
-            ),
-            news=self.news,
-            tallies=self._book,
-            speeds=SpeedBook(),
-            metrics=self.metrics,
-            read_clock=read_clock,
-        )
-
-    def _find_engine(self, service_name):
-        configuration = self.view.configuration
-        service = configuration.services.get(service_name) if configuration else None
-        return service.engine if service else None
-
-    def _find_cost(self, model):
-        configuration = self.view.configuration
-        services = configuration.services.values() if configuration else ()
-        costs = [s.engine.model_costs.get(model) for s in services if s.engine]
-        return next((cost for cost in costs if cost is not None), None)
-
     def measure_backlog(self, upstream_id):
         """Return the milliseconds of reading that wait at an upstream."""
         upstream = self.view.find_upstream(upstream_id)
