Specification of the copies of the store, on the real class, with two broken variants

Two copies are told of one history by full reads, watches and each other, late, in any order or not at all; each always holds what the store held at its index. A copy that takes older full reads, and one that learns no deletions from peers, break it.

--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specs import configuration, ledger, orders, rollout
+from specs import configuration, ledger, mirror, orders, rollout
 
 MAX_STATES = 400_000
 
@@ -48,6 +48,18 @@
     assert not check(build(), ROLLOUT)
 
 
+COPIES = "copies_are_true"
+
+
+def test_copies_of_the_store_are_true_whoever_tells_them():
+    assert check(mirror.build(), COPIES)
+
+
+@pytest.mark.parametrize("build", [mirror.build_forgetful, mirror.build_hoarding])
+def test_broken_copies_hold_what_the_store_never_held(build):
+    assert not check(build(), COPIES)
+
+
 ORDERS = "never_back_to_an_old_holder"
 
 
