--- a/tests/entry/test_news.py
+++ b/tests/entry/test_news.py
@@ -1,5 +1,7 @@
 """Instances tell each other how busy upstreams are."""
 
+import random
+
 import pytest
 
 from benchmarks.news_fabric import Fabric
@@ -71,10 +73,7 @@
 
 
 def test_half_of_the_upstreams_is_told_where_a_teller_is_gone(fleet):
-    upstreams = [
-        Upstream(f"u-{n}", "engines", f"10.0.0.{n}:80", "a", "v1", 24)
-        for n in range(40)
-    ]
+    upstreams = make_upstreams(40)
     silent = next(n for n in fleet.news if n.startswith("a") and _tells(fleet, n))
     for upstream in upstreams:
         fleet.news["a-9"].tell_work(upstream, 40.0)
@@ -92,6 +91,13 @@
     assert [sum_heard(fabric, f"b-{n}") for n in range(4)] == [50] * 4
 
 
+def test_an_instance_of_a_large_fleet_hears_few_messages():
+    # Where everyone tells all 70, each hears 412 a second, and the fleet spends
+    # most of its processor time on it.
+    fabric = play_second(Fabric(70, ("a", "b", "c", "d", "e"), make_upstreams(56)))
+    assert max(port.heard for port in fabric.ports.values()) < 200
+
+
 def test_what_others_said_just_now_is_not_said_again(fleet):
     fleet.news["a-0"].tell_report(UPSTREAM, 5, 1)
     fleet.news["a-1"].tell_report(UPSTREAM, 6, 1)
@@ -108,11 +114,34 @@
     assert [row.slowdown for row in fleet.heard["b-2"]] == [3.14]
 
 
+def make_upstreams(count):
+    return [
+        Upstream(f"u-{n}", "engines", f"10.0.0.{n}:80", "a", "v1", 24)
+        for n in range(count)
+    ]
+
+
+def play_second(fabric):
+    """Play a second of 300 prompts, as many reports and ten times as many gaps."""
+    generator = random.Random(1)
+    names = list(fabric.news)
+    for step in range(300):
+        fabric.now = step / 300
+        news = fabric.news[generator.choice(names)]
+        upstream = generator.choice(fabric.view.upstreams)
+        news.tell_work(upstream, 60.0)
+        news.tell_report(upstream, 3, 0)
+        for _ in range(10):
+            news.tell_slowdown(upstream, 1.5)
+        if step % 60 == 0:
+            fabric.exchange()
+    return fabric
+
+
 def _tells(fabric, name):
     """Return whether this instance sends sums of its zone."""
     probe = Fabric(30, ZONES, [UPSTREAM], direct_fleet=24)
-    for n in range(40):
-        upstream = Upstream(f"p-{n}", "engines", "10.0.0.1:80", "a", "v1", 24)
+    for upstream in make_upstreams(40):
         probe.news["a-9"].tell_work(upstream, 40.0)
     probe.news[name].exchange()
     return any(probe.heard[other] for other in probe.news if other[0] != "a")
