Lapsed entries, starts under one id, entries of other writers

Leaving upstreams. Cause: an entry that went within a second of the store's return counted as lapsed and was used for 2 s more from then, so that a request reached an upstream 2,011 ms after it was known to be gone. Ruled out: a late reply; the log shows the deletion in time. The time to return runs from the store's return now, ends before leaving upstreams may get nothing more, and is looked at when it ends instead of once a second.

Cause: an id was taken for a process. One type names a start; cache, backlog, load, pace, suspicion and kept connections belong to it, what is under way ends with it, and words of an ended start change nothing, whoever tells them. Births are compared for equality only, since clocks may be set back.

Other writers. An entry without each field the platform names, with other types, states, addresses or ids that fit no field, names no upstream and takes the place of what was there; the others hold. Rejections are counted on the metrics page.

--- a/soak/world.py
+++ b/soak/world.py
@@ -116,6 +116,7 @@
             "slots": 8,
             "state": state,
             "cold-left-ms": 0,
+            "seq": 0,
         }
         self.store.put(f"servers/{upstream.id}", entry)
 
--- a/src/merlinnotch/_entry/feed.py
+++ b/src/merlinnotch/_entry/feed.py
@@ -28,14 +28,15 @@
 
     *changes* are all since the index *since*, None where they are too long for
     a message; *index* is how far the watcher is then and *sender* its address.
-    *store_was_away* says that deletions may be lapses of an outage.
+    *returned_s* is how many seconds before the store had come back from an outage,
+    None where it hadn't lately: deletions may then be lapses.
     """
 
     sender: str
     since: int
     index: int
     changes: Changes | None
-    store_was_away: bool
+    returned_s: float | None
 
 
 class ZoneFeed:
@@ -76,14 +77,14 @@
             return 0.0
         return max(0.0, self._heard_at + self._fresh_s - now)
 
-    def tell(self, since, index, changes, store_was_away):
+    def tell(self, since, index, changes, returned_s):
         """Pass a reply of the store on, where this instance is a watcher."""
         audience = self._list_audience()
         if not audience:
             return
         rows = None if changes is None else _encode_changes(changes)
         for body_rows in (rows, None):
-            body = [self._address, since, index, body_rows, store_was_away]
+            body = [self._address, since, index, body_rows, returned_s]
             if self._port.send(MessageKind.CHANGES, body, audience):
                 return
 
@@ -95,13 +96,11 @@
             return None
 
     def _take(self, body):
-        sender, since, index, rows, store_was_away = body
+        sender, since, index, rows, returned_s = body
         changes = None if rows is None else _decode_changes(rows, index)
         if self._queue.full():
             self._queue.get_nowait()
-        self._queue.put_nowait(
-            ChangesNews(sender, since, index, changes, store_was_away)
-        )
+        self._queue.put_nowait(ChangesNews(sender, since, index, changes, returned_s))
         self._heard_at = self._read_clock()
 
     def _list_audience(self):
--- a/src/merlinnotch/_entry/follower.py
+++ b/src/merlinnotch/_entry/follower.py
@@ -80,16 +80,16 @@
         if self._complete:
             changes = self._store.read_changes(EVERYTHING, since, self._limit_watch())
             self._note_reply()
-            self._apply(self._mirror.apply(changes), self._was_away())
-            self._feed.tell(since, changes.index, changes, self._was_away())
+            self._apply(self._mirror.apply(changes))
+            self._feed.tell(since, changes.index, changes, self._measure_return())
             if changes.written or changes.deleted:
                 eventlet.sleep(PAUSE_SHARE * self._feed.in_force_s)
         else:
             listing = self._store.read(EVERYTHING, recurse=True)
             self._note_reply()
             self._complete = True
-            self._apply(self._mirror.replace(listing), self._was_away())
-            self._feed.tell(since, listing.index, None, self._was_away())
+            self._apply(self._mirror.replace(listing))
+            self._feed.tell(since, listing.index, None, self._measure_return())
 
     def _limit_watch(self):
         # After an outage the first reply has to come at once.
@@ -107,18 +107,25 @@
                 if part is None or part.index < news.index:
                     return False
                 differences = self._mirror.merge(part)
-            self._apply(differences, news.store_was_away or self._was_away())
+            self._apply(differences, news.returned_s)
         self._note_reply()
         return True
 
-    def _apply(self, differences, store_was_away):
-        self._view.apply(differences, self._read_clock(), store_was_away)
+    def _apply(self, differences, told_s=None):
+        """Take *differences*; *told_s* is what a watcher says of the store's return."""
+        now = self._read_clock()
+        known = [s for s in (told_s, self._measure_return()) if s is not None]
+        self._view.apply(differences, now, now - max(known) if known else None)
+
+    def _measure_return(self):
+        """Return how many seconds ago the store came back from an outage.
 
-    def _was_away(self):
-        """Return whether deletions seen now may be lapses of an outage."""
+        None once deletions that are seen now can't be lapses of it any more.
+        """
         if self._returned_at is None:
-            return False
-        return self._read_clock() - self._returned_at < RETURN_S
+            return None
+        age_s = self._read_clock() - self._returned_at
+        return age_s if age_s < RETURN_S else None
 
     def _note_reply(self):
         if self._failing_since is None:
--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -32,5 +32,11 @@
             registry=self.registry,
         )
 
+        self.rejected = Gauge(
+            "merlinnotch_rejected_documents",
+            "Documents in the store that could not be used, by change",
+            registry=self.registry,
+        )
+
     def _counter(self, name, text, *labels):
         return Counter(f"merlinnotch_{name}", text, labels, registry=self.registry)
--- a/src/merlinnotch/_entry/news.py
+++ b/src/merlinnotch/_entry/news.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from .._fleet import UpstreamStart
 from .._rendezvous import rank, rank_first
 from .datagrams import MessageKind
 
@@ -21,7 +22,7 @@
 """Instances of a zone that send its sums; each sends half of the upstreams, so
 that half is known still where one of them is gone."""
 ROWS = 40
-"""Upstreams in one message; each takes about 22 bytes."""
+"""Upstreams in one message; each takes about 31 bytes."""
 REPORTS_HEARD = 20.0
 """Reports a second that an instance hears of a service from its zone, at most;
 upstreams that were heard of lately are passed over. Of 45 upstreams each is told
@@ -34,7 +35,8 @@
 
     *reading_ms* is how long it reads them. *running* and *waiting* are the
     requests there by its own words, *slowdown* is how many times slower than
-    unloaded its streams are; None where nobody heard.
+    unloaded its streams are; None where nobody heard. *born_ms* tells its starts
+    apart.
     """
 
     upstream_id: str
@@ -42,6 +44,12 @@
     running: int | None = None
     waiting: int | None = None
     slowdown: float | None = None
+    born_ms: int = 0
+
+    @property
+    def start(self):
+        """The :class:`UpstreamStart` that this is told of."""
+        return UpstreamStart(self.upstream_id, self.born_ms)
 
     def add(self, later):
         """Return this row and a *later* one as one."""
@@ -53,6 +61,7 @@
             heard.running,
             heard.waiting,
             paced.slowdown,
+            self.born_ms,
         )
 
 
@@ -93,17 +102,17 @@
     def tell_work(self, upstream, reading_ms):
         """Tell of a prompt that was sent to *upstream*."""
         if reading_ms >= MIN_MS:
-            self._tell(LoadRow(upstream.id, int(reading_ms)))
+            self._tell(upstream, reading_ms=int(reading_ms))
 
     def tell_report(self, upstream, running, waiting):
         """Tell what *upstream* said of its load, unless others did just now."""
         if self._is_due(self._reported_at, upstream):
-            self._tell(LoadRow(upstream.id, running=running, waiting=waiting))
+            self._tell(upstream, running=running, waiting=waiting)
 
     def tell_slowdown(self, upstream, slowdown):
         """Tell how slow streams of *upstream* are, unless others did just now."""
         if self._is_due(self._paced_at, upstream):
-            self._tell(LoadRow(upstream.id, slowdown=round(slowdown, 2)))
+            self._tell(upstream, slowdown=round(slowdown, 2))
 
     def run(self):
         """Send sums to other zones until the process ends."""
@@ -125,27 +134,28 @@
             body = _encode(own[start : start + ROWS])
             self._port.send(MessageKind.LOAD_SUMS, body, receivers)
 
-    def forget(self, upstream_id):
-        """Forget an upstream that has left."""
-        self._reported_at.pop(upstream_id, None)
-        self._paced_at.pop(upstream_id, None)
+    def forget(self, start):
+        """Forget an upstream that has left; *start* is an :class:`UpstreamStart`."""
+        self._reported_at.pop(start, None)
+        self._paced_at.pop(start, None)
 
     def _is_due(self, told_at, upstream):
         """Return whether nobody told this of *upstream* lately, and note that we do."""
         now = self._read_clock()
         pause_s = len(self._view.list_upstreams(upstream.service)) / REPORTS_HEARD
-        if now - told_at.get(upstream.id, -pause_s) < pause_s:
+        if now - told_at.get(upstream.start, -pause_s) < pause_s:
             return False
-        told_at[upstream.id] = now
+        told_at[upstream.start] = now
         return True
 
-    def _tell(self, row):
+    def _tell(self, upstream, **words):
+        row = LoadRow(upstream.id, born_ms=upstream.born_ms, **words)
         self._add(row)
         self._port.send(MessageKind.LOAD, _encode([row]), self._list_audience())
 
     def _add(self, row):
-        known = self._sums.get(row.upstream_id)
-        self._sums[row.upstream_id] = known.add(row) if known else row
+        known = self._sums.get(row.start)
+        self._sums[row.start] = known.add(row) if known else row
 
     def _take_rows(self, body):
         for row in _decode(body):
@@ -163,9 +173,9 @@
     def _note(self, row):
         now = self._read_clock()
         if row.running is not None:
-            self._reported_at[row.upstream_id] = now
+            self._reported_at[row.start] = now
         if row.slowdown is not None:
-            self._paced_at[row.upstream_id] = now
+            self._paced_at[row.start] = now
         self._take_row(row)
 
     def _is_small(self):
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -29,6 +29,9 @@
 logger = logging.getLogger("merlinnotch")
 
 SWEEP_S = 1.0
+LAPSE_S = 0.5
+"""How often lapsed entries are looked for; one that was just seen is kept for at
+least 0.9 s, and dropped when that ends, not at the next look."""
 BALANCER_S = 2.5
 """After this long without readiness the balancer sends no new connections: it
 asks once a second and acts on two answers."""
@@ -52,7 +55,12 @@
         self.metrics = EntryMetrics()
         self.mirror = Mirror()
         self.pool = UpstreamPool(read_clock)
-        self.view = FleetView(_decode, self._drop_upstream)
+        self.view = FleetView(
+            _decode,
+            self._drop_upstream,
+            self._drop_start,
+            settings.store.in_force_s,
+        )
         self._loads = LoadTable(lambda service: find_engine(self.view, service))
         self._book = TallyBook(f"{settings.instance.name}/{time.time_ns()}")
         self.store = self._build_store(settings.store)
@@ -61,7 +69,7 @@
         place = settings.instance
         self.datagrams = DatagramPort(place.peer_address)
         self.news = LoadNews(
-            self.datagrams, name, place.zone, self.view, read_clock, self._take_load
+            self.datagrams, name, place.zone, self.view, read_clock, self.take_load
         )
         self.feed = ZoneFeed(
             self.datagrams,
@@ -132,6 +140,7 @@
             self.datagrams.run,
             self.news.run,
             self._sweep,
+            self._drop_lapsed,
         ):
             self._tasks.append(eventlet.spawn(_run_forever, task))
         logger.info("started", extra={"address": place.caller_address})
@@ -182,8 +191,9 @@
         upstream = self.view.find_upstream(upstream_id)
         return self._loads.get(upstream).backlog.measure(read_clock())
 
-    def _take_load(self, row):
-        upstream = self.view.find_upstream(row.upstream_id)
+    def take_load(self, row):
+        """Take what another instance says of an upstream's load."""
+        upstream = self.view.find_start(row.start)
         if upstream is None:
             return
         now = read_clock()
@@ -194,16 +204,29 @@
         if row.slowdown is not None:
             load.set_slowdown(row.slowdown, now)
 
-    def _drop_upstream(self, upstream_id):
-        self.pool.drop(upstream_id)
-        self._loads.drop(upstream_id)
-        self.news.forget(upstream_id)
+    def _drop_upstream(self, upstream):
+        self.pool.drop(upstream.start)
+        self._loads.drop(upstream.start)
+        self.news.forget(upstream.start)
+
+    def _drop_start(self, upstream):
+        """Forget all that an upstream held before it started again.
+
+        What is under way there has ended with it, also where its machine can't
+        say so any more.
+        """
+        self.pool.break_off(upstream.start)
+        self._drop_upstream(upstream)
 
     def _sweep(self):
         while True:
             eventlet.sleep(SWEEP_S)
             self.pool.close_old()
-            self.view.drop_lapsed(read_clock())
+
+    def _drop_lapsed(self):
+        while True:
+            left_s = self.view.drop_lapsed(read_clock())
+            eventlet.sleep(LAPSE_S if left_s is None else min(LAPSE_S, left_s))
 
     def respond_ready(self, request):
         """Return status, fields and body of the readiness page."""
@@ -213,6 +236,7 @@
     def _respond_metrics(self, request):
         configuration = self.view.configuration
         self.metrics.version.set(configuration.version if configuration else 0)
+        self.metrics.rejected.set(self.view.rejected)
         text = generate_latest(self.metrics.registry)
         return OK, [("content-type", "text/plain; version=0.0.4")], text
 
--- a/src/merlinnotch/_fleet/__init__.py
+++ b/src/merlinnotch/_fleet/__init__.py
@@ -12,7 +12,7 @@
 )
 from .facts import Fact, PeerAddress
 from .rollout import RolloutOrder, RolloutState, RolloutStatus, Stage
-from .upstream import Upstream
+from .upstream import Upstream, UpstreamStart
 
 __all__ = [
     "CallerLimits",
@@ -30,4 +30,5 @@
     "Stage",
     "Team",
     "Upstream",
+    "UpstreamStart",
 ]
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -1,6 +1,8 @@
 """The fleet as one instance sees it, kept up to date by differences."""
 
+import collections
 import logging
+import math
 from dataclasses import dataclass, field
 
 from .._errors import ConfigurationInvalid
@@ -13,7 +15,14 @@
 
 LAPSED_KEEP_S = 2.0
 """How long an entry that lapsed while the store was away may take to come back
-after its return; the platform's word for living upstreams that reach it."""
+after the store's return; the platform's word for living upstreams that reach it."""
+LAST_SEND_S = 0.2
+"""Kept of the time within which leaving upstreams may get new work: a deletion may
+also be a departure, and a request that is placed at the last moment takes a few
+milliseconds to arrive, over a lossy link 200 ms more."""
+MOST_ENDED = 4096
+"""Ended starts that are remembered, some 100 bytes each; of 2,200 upstreams that is
+what six days of 670 restarts bring."""
 
 
 @dataclass
@@ -65,14 +74,25 @@
     """Turns differences of the mirror into declarations, upstreams, roll-outs.
 
     *decode* maps (key, value, index) to a fact. A configuration that does not
-    decode leaves the one before in force. *on_upstream_gone* is called with
-    the id of each upstream that left for good.
+    decode leaves the one before in force; an upstream's entry that does not names
+    no upstream. *on_upstream_gone* is called with each :class:`Upstream` that left
+    for good, *on_upstream_restarted* with the one that was before a new start
+    under its id. Leaving upstreams may get no new work after *in_force_s*.
     """
 
-    def __init__(self, decode, on_upstream_gone=lambda upstream_id: None):
+    def __init__(
+        self,
+        decode,
+        on_upstream_gone=lambda upstream: None,
+        on_upstream_restarted=lambda upstream: None,
+        in_force_s=math.inf,
+    ):
         self._decode = decode
         self._on_upstream_gone = on_upstream_gone
+        self._on_upstream_restarted = on_upstream_restarted
+        self._lapse_keep_s = in_force_s - LAST_SEND_S
         self._facts = {}
+        self._ended = collections.OrderedDict()
         self._upstreams = {}
         self._lapsed = {}
         self._rollouts = {}
@@ -81,15 +101,15 @@
         self._present_peers = set()
         self.rejected = 0
 
-    def apply(self, differences, now, store_was_away=False):
+    def apply(self, differences, now, returned_at=None):
         """Take *differences* that were seen at *now*.
 
-        With *store_was_away* the store has just come back: entries that lapsed
-        meanwhile get time to return.
+        With *returned_at* the store came back just then: entries that lapsed
+        meanwhile get time to return, counted from its return.
         """
         for difference in differences:
             if difference.item is None:
-                self._forget(difference.key, now, store_was_away)
+                self._forget(difference.key, now, returned_at)
             else:
                 self._take(difference.item, now)
 
@@ -104,6 +124,11 @@
                 return group[upstream_id]
         return None
 
+    def find_start(self, start):
+        """Return the upstream of this :class:`UpstreamStart`, or None."""
+        upstream = self.find_upstream(start.id)
+        return upstream if upstream is not None and upstream.start == start else None
+
     def get_rollout(self, service):
         """Return the :class:`ServiceRollout` of *service*."""
         return self._rollouts.setdefault(service, ServiceRollout())
@@ -121,16 +146,24 @@
         return [self.peers[name] for name in self._present_peers]
 
     def drop_lapsed(self, now):
-        """Give up on lapsed entries whose time to return has passed."""
+        """Give up on lapsed entries whose time to return has passed.
+
+        Return the seconds until this is due again, None where nothing waits.
+        """
         for key, (upstream, until) in list(self._lapsed.items()):
             if now >= until:
                 del self._lapsed[key]
                 self._remove_upstream(upstream, "lapsed")
+        ends = [until for _, until in self._lapsed.values()]
+        return min(ends) - now if ends else None
 
     @property
     def is_ready(self):
         """Whether requests can be served from what is known."""
-        return self.configuration is not None and bool(self._upstreams)
+        if self.configuration is None:
+            return False
+        services = self.configuration.services
+        return any(self._upstreams.get(service) for service in services)
 
     def _take(self, item, now):
         try:
@@ -139,12 +172,13 @@
             self.rejected += 1
             fields = {"key": item.key, "index": item.modify_index, "fault": str(error)}
             logger.error("document rejected", extra=fields)
+            self._forget_unreadable(item.key)
             return
         if fact is None:
             return
         if isinstance(fact, Upstream):
-            self._lapsed.pop(item.key, None)
-            self._add_upstream(fact)
+            if not self._take_upstream(item.key, fact):
+                return
         elif isinstance(fact, Configuration):
             self._set_configuration(fact, item.modify_index)
         elif isinstance(fact, PeerAddress):
@@ -154,14 +188,18 @@
             self._note_rollout(fact, now)
         self._facts[item.key] = fact
 
-    def _forget(self, key, now, store_was_away):
+    def _forget_unreadable(self, key):
+        """Use an upstream no longer whose entry has become another writer's."""
+        if isinstance(self._facts.get(key), Upstream):
+            self._remove_upstream(self._facts.pop(key), "entry rejected")
+
+    def _forget(self, key, now, returned_at):
         fact = self._facts.pop(key, None)
         if isinstance(fact, Upstream):
-            if store_was_away:
-                self._lapsed[key] = (fact, now + LAPSED_KEEP_S)
-                logger.info("upstream lapsed", extra={"upstream": fact.id})
-            else:
+            if returned_at is None:
                 self._remove_upstream(fact, "removed")
+            else:
+                self._keep_lapsed(key, fact, now, returned_at)
         elif isinstance(fact, RolloutOrder):
             self.get_rollout(fact.service).order = None
         elif isinstance(fact, PeerAddress):
@@ -169,6 +207,40 @@
         # The last configuration and the addresses of peers stay in use: both
         # are only ever replaced, and a wrong address costs one failed call.
 
+    def _keep_lapsed(self, key, upstream, now, returned_at):
+        """Go on using an upstream that may have lapsed, until it is surely gone."""
+        until = min(returned_at + LAPSED_KEEP_S, now + self._lapse_keep_s)
+        self._lapsed[key] = (upstream, until)
+        fields = {"upstream": upstream.id, "kept_s": round(until - now, 2)}
+        logger.info("upstream lapsed", extra=fields)
+
+    def _take_upstream(self, key, upstream):
+        """Take an upstream's entry; return whether it says something new."""
+        if upstream.start in self._ended:
+            fields = {"upstream": upstream.id, "born_ms": upstream.born_ms}
+            logger.info("word of an ended start ignored", extra=fields)
+            return False
+        lapsed, _ = self._lapsed.pop(key, (None, 0.0))
+        before = self._facts.get(key, lapsed)
+        if isinstance(before, Upstream):
+            self._replace_upstream(before, upstream)
+        self._add_upstream(upstream)
+        return True
+
+    def _replace_upstream(self, before, upstream):
+        if before.start != upstream.start:
+            self._note_ended(before.start)
+            fields = {"upstream": before.id, "born_ms": before.born_ms}
+            logger.info("upstream restarted", extra=fields)
+            self._on_upstream_restarted(before)
+        if before.service != upstream.service:
+            self._upstreams.get(before.service, {}).pop(before.id, None)
+
+    def _note_ended(self, start):
+        self._ended[start] = None
+        if len(self._ended) > MOST_ENDED:
+            self._ended.popitem(last=False)
+
     def _add_upstream(self, upstream):
         group = self._upstreams.setdefault(upstream.service, {})
         known = group.get(upstream.id)
@@ -187,7 +259,7 @@
         if group.pop(upstream.id, None) is not None:
             fields = {"upstream": upstream.id, "reason": reason}
             logger.info("upstream gone", extra=fields)
-            self._on_upstream_gone(upstream.id)
+            self._on_upstream_gone(upstream)
 
     def _set_configuration(self, configuration, index):
         known = self.configuration
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -60,10 +60,10 @@
         and :class:`ConnectionBroken` where it may have.
         """
         load = self._loads.get(upstream)
-        connection = self._pool.take(upstream.id, upstream.address, CONNECT_S)
+        connection = self._pool.take(upstream.start, upstream.address, CONNECT_S)
         started_at = self._read_clock()
         call.sends += 1
-        call.sent_to.add(upstream.id)
+        call.sent_to.add(upstream.start)
         if work.model:
             load.cache.note(work.model, work.prompt)
             load.backlog.note(estimate.reading_ms, started_at)
@@ -123,4 +123,4 @@
         except ConnectionBroken:
             connection.close()
         else:
-            self._pool.give_back(upstream.id, connection)
+            self._pool.give_back(upstream.start, connection)
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from .._fleet import Configuration, Route, Team
+from .._fleet import Configuration, Route, Team, UpstreamStart
 
 
 @dataclass
@@ -12,7 +12,7 @@
     *headers* are the caller's, decoded; *pairs* the fields to pass on. Times
     are on the boot clock: *deadline* is when the caller or the route's timeout
     gives up. *may_have_run* is set once an upstream may have begun to work.
-    *tried* are the ids of upstreams that this request was sent to or that
+    *tried* are the starts of upstreams that this request was sent to or that
     refused it, *sent_to* those that it counts against the route's bound.
     *confidence* and *slowdown* are what the last choice of a model went by.
     *paid_ahead* says that the next send has been taken from the retry budget.
@@ -28,8 +28,8 @@
     deadline: float
     service: str = ""
     model: str | None = None
-    tried: set[str] = field(default_factory=set)
-    sent_to: set[str] = field(default_factory=set)
+    tried: set[UpstreamStart] = field(default_factory=set)
+    sent_to: set[UpstreamStart] = field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
     paid_ahead: bool = False
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -51,7 +51,7 @@
                 f"none of {len(listed)} reachable",
                 retry_after_s=CUT_RETRY_S,
             )
-        untried = [u for u in listed if u.id not in call.tried]
+        untried = [u for u in listed if u.start not in call.tried]
         rollout = self._view.get_rollout(call.service)
         accepts = self._versions.choose(call.service, rollout, call.headers.session)
         work = Work(call.headers.prompt, call.model)
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -65,10 +65,10 @@
             return self._run(call, connection, choice, work)
         except ConnectFailed as error:
             self._parts.prober.suspect(upstream)
-            call.tried.add(upstream.id)
+            call.tried.add(upstream.start)
             self._note_retry(call, upstream, "unreachable", error)
         except NotRun as error:
-            call.tried.add(upstream.id)
+            call.tried.add(upstream.start)
             self._settle_not_run(call, upstream)
             self._note_retry(call, upstream, "not run", error)
         except (ConnectionBroken, MalformedMessage) as error:
@@ -76,7 +76,7 @@
             self._parts.prober.suspect(upstream)
             if now < call.deadline:
                 self._results.note_broken(call, upstream, now)
-            call.tried.add(upstream.id)
+            call.tried.add(upstream.start)
             self._note_retry(call, upstream, "broken", error)
             if not call.may_run_again:
                 raise self._refuse_unknown(call, now) from error
@@ -134,13 +134,13 @@
         except BaseException:
             attempt.connection.close()
             raise
-        self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
+        self._parts.pool.give_back(attempt.upstream.start, attempt.connection)
         if attempt.note.encoded:
             raise ConnectionBroken("the body is encoded")
         failed = attempt.head.status >= SERVER_ERROR
         self._results.note_answer(call, attempt, failed)
         if failed and self._can_try_again(call):
-            call.tried.add(attempt.upstream.id)
+            call.tried.add(attempt.upstream.start)
             self._note_retry(
                 call, attempt.upstream, "failed", f"status {attempt.head.status}"
             )
@@ -168,7 +168,7 @@
             self._results.note_gap,
         )
         relay.run(attempt)
-        self._parts.pool.give_back(attempt.upstream.id, attempt.connection)
+        self._parts.pool.give_back(attempt.upstream.start, attempt.connection)
         self._results.note_answer(call, attempt, failed=False)
         return True
 
@@ -214,7 +214,7 @@
 
     def _settle_not_run(self, call, upstream):
         # Asked before it was sent anywhere, it does not count as sent.
-        call.sent_to.discard(upstream.id)
+        call.sent_to.discard(upstream.start)
 
     def _note_retry(self, call, upstream, reason, detail):
         call.reasons.append(reason)
--- a/src/merlinnotch/_gateway/prober.py
+++ b/src/merlinnotch/_gateway/prober.py
@@ -30,16 +30,16 @@
 
     def suspect(self, upstream):
         """Leave *upstream* alone until it has been connected to."""
-        if upstream.id in self._suspects:
+        if upstream.start in self._suspects:
             return
-        self._suspects.add(upstream.id)
+        self._suspects.add(upstream.start)
         self._loads.get(upstream).reachable = False
         eventlet.spawn_n(self._probe, upstream)
 
     def _probe(self, upstream):
         pause_s = PAUSE_S
         try:
-            while self._view.find_upstream(upstream.id) is not None:
+            while self._view.find_start(upstream.start) is not None:
                 if self._connect(upstream):
                     self._loads.get(upstream).reachable = True
                     logger.info("upstream reached", extra={"upstream": upstream.id})
@@ -47,14 +47,14 @@
                 eventlet.sleep(pause_s)
                 pause_s = min(pause_s * 1.5, MOST_PAUSE_S)
         finally:
-            self._suspects.discard(upstream.id)
+            self._suspects.discard(upstream.start)
 
     def _connect(self, upstream):
         try:
             connection = self._pool.take(
-                upstream.id, upstream.address, CONNECT_S, fresh=True
+                upstream.start, upstream.address, CONNECT_S, fresh=True
             )
         except ConnectFailed:
             return False
-        self._pool.give_back(upstream.id, connection)
+        self._pool.give_back(upstream.start, connection)
         return True
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -7,7 +7,14 @@
 
 from .._errors import ConnectionBroken, MalformedMessage
 from .fields import Fields
-from .sockets import close_quietly, is_quiet, open_connection, receive, send
+from .sockets import (
+    close_quietly,
+    hang_up,
+    is_quiet,
+    open_connection,
+    receive,
+    send,
+)
 
 INLINE_BODY_BYTES = 32768
 """Up to this size a request is written before its answer is looked at; a
@@ -40,6 +47,7 @@
         )
         self._sender = None
         self._closing = False
+        self._broken_off = False
         self.uses = 0
         self.idle_since = 0.0
         self.keep_alive_s = None
@@ -112,6 +120,14 @@
         """Return whether nothing came or ended while it was idle."""
         return is_quiet(self._sock)
 
+    def break_off(self):
+        """Let whoever waits for bytes here see a broken connection.
+
+        The end of bytes alone would make an answer without length look whole.
+        """
+        self._broken_off = True
+        hang_up(self._sock)
+
     def close(self):
         """Close the connection; an upstream drops the work on it."""
         if self._sender is not None:
@@ -134,6 +150,8 @@
             if event is not h11.NEED_DATA:
                 return event
             data = receive(self._sock, until - self._read_clock())
+            if self._broken_off:
+                raise ConnectionBroken("the upstream started again")
             self._closing = self._closing or not data
             self._http.receive_data(data)
 
--- a/src/merlinnotch/_placement/loads.py
+++ b/src/merlinnotch/_placement/loads.py
@@ -9,7 +9,7 @@
 
 
 class LoadTable:
-    """One :class:`UpstreamLoad` for each incarnation of an upstream.
+    """One :class:`UpstreamLoad` for each start of an upstream.
 
     *find_engine* maps a service's name to its engine, or None. Each instance draws
     an order of its own: all would else pick the same one of several idle ones.
@@ -22,18 +22,18 @@
 
     def get(self, upstream):
         """Return the load of *upstream*."""
-        load = self._loads.get(upstream.id)
+        load = self._loads.get(upstream.start)
         if load is None:
             engine = self._find_engine(upstream.service)
             tokens = engine.memory_tokens if engine else DEFAULT_MEMORY_TOKENS
             cache = PrefixCache(int(tokens * MEMORY_SHARE))
             load = UpstreamLoad(cache, self._generator.random())
-            self._loads[upstream.id] = load
+            self._loads[upstream.start] = load
         return load
 
-    def drop(self, upstream_id):
-        """Forget an upstream that has left."""
-        self._loads.pop(upstream_id, None)
+    def drop(self, start):
+        """Forget an upstream that has left; *start* is an :class:`UpstreamStart`."""
+        self._loads.pop(start, None)
 
     def list_reachable(self, upstreams):
         """Return those of *upstreams* that can be connected to, as far as known."""
--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -4,7 +4,9 @@
 :class:`ConfigurationInvalid` with the field's path.
 """
 
-from typing import Literal
+import ipaddress
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -26,6 +28,12 @@
 from . import keys
 
 MS = 1000.0
+MOST_PORT = 65535
+
+
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+ID = re.compile(r"[!-~]+")
+"""Ids go into a header field; anything else there would break the request."""
 
 
 class _Document(msgspec.Struct, rename="kebab"):
@@ -95,14 +103,20 @@
 
 
 class _UpstreamDocument(_Document):
-    service: str
+    # Every field but born must stand there: an entry that lacks one is another
+    # writer's and names no upstream.
+    service: Name
     address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
     # How much longer it stays slow, as of the time of writing.
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    # The number of orders that it has accepted.
+    seq: Annotated[int, msgspec.Meta(ge=0)]
+    # The Unix millisecond of its start; not every platform says it.
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _OrderDocument(_Document):
@@ -121,7 +135,7 @@
     if key == keys.CONFIGURATION:
         return _build_configuration(_decode(value, _ConfigurationDocument, key))
     if key.startswith(keys.UPSTREAM_PREFIX):
-        return _build_upstream(key, _decode(value, _UpstreamDocument, key))
+        return _build_upstream(key, _decode(value, _UpstreamDocument, key, True))
     if key.startswith(keys.ROLLOUT_PREFIX):
         order = _decode(value, _OrderDocument, key)
         return RolloutOrder(order.service, order.target, order.period_s, index)
@@ -139,10 +153,10 @@
     )
 
 
-def _decode(value, kind, key):
+def _decode(value, kind, key, strict=False):
     try:
-        return msgspec.json.decode(value, type=kind, strict=False)
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(value, type=kind, strict=strict)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigurationInvalid([f"{key}: {error}"]) from error
 
 
@@ -191,6 +205,16 @@
     return Repeat.IDEMPOTENT if row.kind == "idempotent" else Repeat.ONCE
 
 
+def _is_address(text):
+    """Return whether *text* is an IPv4 address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) <= MOST_PORT
+
+
 def _build_service(row):
     engine = None
     if row.engine:
@@ -203,8 +227,13 @@
 
 
 def _build_upstream(key, row):
+    upstream_id = key[len(keys.UPSTREAM_PREFIX) :]
+    if not ID.fullmatch(upstream_id):
+        raise ConfigurationInvalid([f"{key!r}: not an id"])
+    if not _is_address(row.address):
+        raise ConfigurationInvalid([f"{key}: {row.address!r} is no address"])
     return Upstream(
-        id=key[len(keys.UPSTREAM_PREFIX) :],
+        id=upstream_id,
         service=row.service,
         address=row.address,
         zone=row.zone,
@@ -212,4 +241,5 @@
         slots=row.slots,
         draining=row.state == "draining",
         cold_s=row.cold_left_ms / MS,
+        born_ms=row.born,
     )
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -3,21 +3,31 @@
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from merlinnotch._fleet import RolloutState, Stage
+from merlinnotch._fleet import RolloutState, Stage, UpstreamStart
 from merlinnotch._fleet.mirror import Difference
 from merlinnotch._fleet.records import decode_record, encode_stage, stage_key
-from merlinnotch._fleet.view import LAPSED_KEEP_S, FleetView
+from merlinnotch._fleet.view import LAPSED_KEEP_S, LAST_SEND_S, FleetView
 from merlinnotch._store import Item
 from merlinnotch.platform import decode_item
 
+IN_FORCE_S = 2.0
+
 
 class Writer:
     """Writes documents to a view as the store would tell them."""
 
     def __init__(self):
         self.gone = []
-        self.view = FleetView(decode_item, self.gone.append)
+        self.restarted = []
+        self.view = FleetView(
+            decode_item,
+            lambda upstream: self.gone.append(upstream.id),
+            lambda upstream: self.restarted.append(upstream.start),
+            IN_FORCE_S,
+        )
         self.index = 0
 
     def put(self, key, document, now=0.0):
@@ -26,21 +36,39 @@
         difference = Difference(key, Item(key, value, self.index))
         self.view.apply([difference], now)
 
-    def delete(self, key, now, was_away=False):
-        self.view.apply([Difference(key, None)], now, was_away)
+    def put_bytes(self, key, value):
+        self.index += 1
+        self.view.apply([Difference(key, Item(key, value, self.index))], 0.0)
+
+    def delete(self, key, now, returned_at=None):
+        self.view.apply([Difference(key, None)], now, returned_at)
 
 
-def upstream(state="ready", version="v1"):
-    return {
+def upstream(state="ready", version="v1", **changes):
+    return changes | {
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "z",
         "version": version,
         "slots": 4,
         "state": state,
+        "cold-left-ms": 0,
+        "seq": 1,
     }
 
 
+FULL = upstream(born=1000)
+
+
+def _is_allowed(name, value):
+    """Return whether a field of an entry may hold *value*."""
+    if name in ("zone", "version"):
+        return isinstance(value, str)
+    if name == "service":
+        return isinstance(value, str) and value
+    return name == "cold-left-ms" and value == 1.5
+
+
 def configuration(version):
     return {"version": version, "routes": [], "services": [], "tenants": []}
 
@@ -69,13 +97,145 @@
     writer.put("servers/i-1", upstream())
     writer.put("servers/i-2", upstream())
     for key in ("servers/i-1", "servers/i-2"):
-        writer.delete(key, now=1.0, was_away=True)
+        writer.delete(key, now=1.0, returned_at=1.0)
     assert len(writer.view.list_upstreams("s")) == 2
     writer.put("servers/i-1", upstream(), now=2.0)
     writer.view.drop_lapsed(1.0 + LAPSED_KEEP_S)
     assert [u.id for u in writer.view.list_upstreams("s")] == ["i-1"]
 
 
+def test_the_time_to_return_runs_from_the_return_of_the_store(writer):
+    # Seen 0.6 s after the return, it was kept for 2.6 s: a request went to an
+    # upstream 2,011 ms after the store had said that it was gone.
+    writer.put("servers/i-1", upstream())
+    writer.delete("servers/i-1", now=10.6, returned_at=10.0)
+    assert writer.view.drop_lapsed(11.0) == pytest.approx(1.0)
+    assert writer.view.drop_lapsed(12.0) is None
+    assert writer.view.list_upstreams("s") == []
+
+
+def test_a_lapsed_entry_is_not_used_longer_than_a_leaving_upstream_may_be(writer):
+    writer.put("servers/i-1", upstream())
+    writer.delete("servers/i-1", now=10.0, returned_at=10.0)
+    left_s = writer.view.drop_lapsed(10.0)
+    assert left_s == pytest.approx(IN_FORCE_S - LAST_SEND_S)
+
+
+def test_a_start_under_the_same_id_ends_the_one_before(writer):
+    writer.put("servers/i-1", upstream(born=1000))
+    writer.put("servers/i-1", upstream(born=2000))
+    assert [u.born_ms for u in writer.view.list_upstreams("s")] == [2000]
+    assert writer.restarted == [UpstreamStart("i-1", 1000)]
+    assert writer.gone == []
+    assert writer.view.find_start(UpstreamStart("i-1", 1000)) is None
+    assert writer.view.find_start(UpstreamStart("i-1", 2000)) is not None
+
+
+def test_a_new_start_counts_also_where_the_clock_was_set_back(writer):
+    writer.put("servers/i-1", upstream(born=2000))
+    writer.put("servers/i-1", upstream(born=1000))
+    assert [u.born_ms for u in writer.view.list_upstreams("s")] == [1000]
+    assert writer.restarted == [UpstreamStart("i-1", 2000)]
+
+
+def test_late_words_of_an_ended_start_change_nothing(writer):
+    writer.put("servers/i-1", upstream(born=1000))
+    writer.put("servers/i-1", upstream(born=2000))
+    writer.put("servers/i-1", upstream("draining", born=1000))
+    assert [u.born_ms for u in writer.view.list_upstreams("s")] == [2000]
+    assert len(writer.restarted) == 1
+    writer.delete("servers/i-1", now=1.0)
+    assert writer.view.list_upstreams("s") == []
+
+
+def test_a_lapsed_entry_that_returns_with_another_start_has_restarted(writer):
+    writer.put("servers/i-1", upstream(born=1000))
+    writer.delete("servers/i-1", now=1.0, returned_at=1.0)
+    writer.put("servers/i-1", upstream(born=2000), now=1.5)
+    assert writer.restarted == [UpstreamStart("i-1", 1000)]
+    assert writer.view.drop_lapsed(9.0) is None
+    assert [u.born_ms for u in writer.view.list_upstreams("s")] == [2000]
+
+
+def test_an_id_that_moves_to_another_service_leaves_the_one_before(writer):
+    writer.put("servers/i-1", upstream(born=1000))
+    writer.put("servers/i-1", upstream(born=2000) | {"service": "other"})
+    assert writer.view.list_upstreams("s") == []
+    assert [u.id for u in writer.view.list_upstreams("other")] == ["i-1"]
+
+
+FOREIGN = [
+    *({k: v for k, v in FULL.items() if k != gone} for gone in FULL if gone != "born"),
+    *(
+        FULL | {name: value}
+        for name in FULL
+        for value in (None, [], {}, True, -1, 1.5, "", "1")
+        if not _is_allowed(name, value)
+    ),
+    FULL | {"state": "asleep"},
+    FULL | {"address": "10.0.0.1:99999"},
+    FULL | {"address": "host:80"},
+    [FULL],
+    "text",
+    None,
+]
+
+
+@pytest.mark.parametrize("document", FOREIGN, ids=str)
+def test_an_entry_of_another_writer_names_no_upstream(writer, document):
+    writer.put("servers/i-1", upstream())
+    writer.put("servers/i-2", document)
+    assert [u.id for u in writer.view.list_upstreams("s")] == ["i-1"]
+    assert writer.view.rejected == 1
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"{", b"[" * 100_000])
+def test_bytes_that_cannot_be_read_take_the_place_of_what_was_there(writer, value):
+    writer.put("servers/i-1", upstream())
+    writer.put("servers/i-2", upstream())
+    writer.put_bytes("servers/i-2", value)
+    assert [u.id for u in writer.view.list_upstreams("s")] == ["i-1"]
+    assert writer.gone == ["i-2"]
+    writer.put("servers/i-2", upstream())
+    assert len(writer.view.list_upstreams("s")) == 2
+
+
+@pytest.mark.parametrize("upstream_id", ["", "a b", "a\r\nb", "\u00e9"])
+def test_an_id_that_fits_no_field_names_no_upstream(writer, upstream_id):
+    writer.put(f"servers/{upstream_id}", upstream())
+    assert writer.view.list_upstreams("s") == []
+
+
+def test_entries_of_services_that_nobody_declared_make_nobody_ready(writer):
+    writer.put("op/config", configuration(1) | {"services": [{"name": "s"}]})
+    writer.put("servers/i-1", upstream() | {"service": "unknown"})
+    assert not writer.view.is_ready
+    writer.put("servers/i-2", upstream())
+    assert writer.view.is_ready
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=6,
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    changes=st.dictionaries(st.sampled_from(sorted(FULL)), JSON_VALUES),
+    dropped=st.sets(st.sampled_from(sorted(FULL))),
+)
+def test_whatever_another_writer_puts_there_the_others_hold(changes, dropped):
+    writer = Writer()
+    writer.put("servers/i-1", upstream())
+    document = {k: v for k, v in (FULL | changes).items() if k not in dropped}
+    writer.put("servers/i-2", document)
+    assert "i-1" in [u.id for u in writer.view.list_upstreams("s")]
+    for listed in writer.view.list_upstreams("s"):
+        assert listed.id == "i-1" or listed.address == document["address"]
+
+
 def test_an_older_configuration_is_ignored(writer):
     writer.put("op/config", configuration(5))
     writer.put("op/config", configuration(4))
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -152,3 +152,16 @@
     with pytest.raises(ConnectionBroken):
         ask(connection)
     listener.close()
+
+
+def test_an_answer_without_length_that_is_broken_off_is_not_whole(start):
+    def script(request, write):
+        write(b"HTTP/1.1 200 X\r\n\r\nhalf of")
+        eventlet.sleep(30)
+
+    upstream = start(script)
+    pool = UpstreamPool(read_clock)
+    connection = pool.take("u", upstream.address, 1.0)
+    eventlet.spawn_after(0.1, pool.break_off, "u")
+    with pytest.raises(ConnectionBroken):
+        ask(connection, wait_s=20.0)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -58,6 +58,7 @@
             "slots": 4,
             "state": "ready",
             "cold-left-ms": 0,
+            "seq": 0,
         }
         self.store.put(f"servers/{upstream_id}", entry | changes)
 
