No stage moves up on what a newcomer has not heard

Cause: an instance that had started 1.5 s before led a roll-out and moved all traffic to a bad version with none of its answers counted, since nobody had told it anything yet (396 requests too many). Ruled out: lost writes; the stage was written once.

Whoever decides stages must have heard most of the others within 2.5 s; counters are told once a second also where nothing changed. Requests that were counted by instances that are gone, or that is not heard, are estimated from the rate of what is heard and count as if the new version had had its largest share. Without four answers of the new version it does not get all traffic.

--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -7,7 +7,7 @@
 from .._errors import StoreConflict, StoreError
 from .._fleet import RolloutState, Stage
 from .._fleet.records import encode_stage, stage_key
-from .._rollout import FIRST_STAGE, Exposure, describe_tallies, judge_version
+from .._rollout import Exposure, Hearing, describe_tallies, judge_version
 from ..platform import encode_status, status_key
 from .tallies import TallyNews
 
@@ -19,10 +19,9 @@
 TELL_S = 0.5
 """How often counters that changed go to the judges; in the last stage, which
 lasts some two seconds, every TICK_S."""
-HEAR_S = 1.2
-"""How long an instance listens before it leads: by then each of the others whose
-counters change has told them. One that restarted would think that the new
-version was hardly used, and move all traffic to it too early."""
+REPEAT_S = 1.0
+"""How often counters go to the judges that did not change: who is silent for longer
+is taken to be gone or cut off."""
 TURN_S = 0.7
 """How much longer each next instance waits before it does what is due; the
 first one has done it by then unless it is gone, paused or cut off."""
@@ -40,13 +39,15 @@
         self._store = store
         self._view = view
         self._book = book
-        self._news = TallyNews(port, name, view, book, read_clock, self._take_verdict)
+        self._news = TallyNews(
+            port, name, view, book, read_clock, self._take_verdict, self._note_heard
+        )
         self._schedule = schedule
         self._name = name
         self._read_clock = read_clock
         self._told_at = {}
         self._orders = {}
-        self._seen_at = {}
+        self._hearings = {}
         self._convicted_at = {}
 
     def run(self):
@@ -66,7 +67,7 @@
     def _lead(self, service, rollout, now):
         if self._orders.get(service) != rollout.order.index:
             self._orders[service] = rollout.order.index
-            self._seen_at[service] = now
+            self._hearings[service] = Hearing(self._schedule.share)
             self._convicted_at.pop(service, None)
             self._book.forget_before(rollout.order)
         reason = judge_version(self._book, rollout.order)
@@ -74,6 +75,7 @@
             self._convict(service, rollout, reason, now)
             self._news.tell_verdict(rollout.order)
         self._tell_judges(rollout, now)
+        self._listen(service, rollout, now)
         if rollout.order.target in rollout.bad_versions:
             self._take_back(service, rollout, now)
             return
@@ -81,6 +83,15 @@
         if age_s >= 0 and self._may_lead(service):
             self._advance(service, rollout, age_s, now)
 
+    def _note_heard(self, service, order_index, name):
+        """Take that instance *name* told its counters for an order."""
+        if self._orders.get(service) == order_index:
+            self._hearings[service].note(name, self._read_clock())
+
+    def _listen(self, service, rollout, now):
+        total = self._book.count_answers(rollout.order)
+        self._hearings[service].listen(self._list_others(service), total, now)
+
     def _convict(self, service, rollout, reason, now):
         """Send the version nothing more, whether or not the store is reached."""
         target = rollout.order.target
@@ -112,19 +123,32 @@
             return
         if rollout.status is None or rollout.status.index < rollout.order.index:
             self._write_state(service, rollout, RolloutState.ACTIVE)
-        exposure = Exposure(
-            self._book.count_answers(rollout.order, rollout.order.target),
-            self._book.count_answers(rollout.order),
-        )
-        due = self._schedule.find_due(age_s, rollout.order.period_s, exposure)
-        if due.number > FIRST_STAGE and now - self._seen_at[service] < HEAR_S:
-            return
         stage = rollout.current_stage
-        if stage is None or stage.number < due.number:
+        if stage is None:
+            first = self._schedule.plan_first()
+            self._write_stage(service, rollout, first, now)
+            return
+        if not self._hearings[service].is_enough(now):
+            return
+        due = self._find_due(service, rollout, age_s, now)
+        if stage.number < due.number:
             self._write_stage(service, rollout, due, now)
         elif self._is_done(stage, age_s, rollout.order.period_s):
             self._write_state(service, rollout, RolloutState.COMPLETE)
 
+    def _find_due(self, service, rollout, age_s, now):
+        """Return the stage that is due by what was heard of the whole fleet."""
+        counted = Exposure(
+            self._book.count_answers(rollout.order, rollout.order.target),
+            self._book.count_answers(rollout.order),
+        )
+        exposure = self._hearings[service].estimate(
+            counted, rollout.measure_age(now), self._list_others(service), now
+        )
+        return self._schedule.find_due(
+            age_s, rollout.order.period_s, exposure, counted.new
+        )
+
     def _is_done(self, stage, age_s, period_s):
         if stage is None or not stage.takes_all:
             return False
@@ -156,15 +180,21 @@
     def _tell_judges(self, rollout, now):
         order = rollout.order
         pause_s = TICK_S if _takes_all(rollout) else TELL_S
-        if now - self._told_at.get(order.service, -TELL_S) < pause_s:
+        silent_s = now - self._told_at.get(order.service, -REPEAT_S)
+        if silent_s < pause_s:
             return
-        if self._book.take_changed(order):
+        if self._book.take_changed(order) or silent_s >= REPEAT_S:
             self._told_at[order.service] = now
             self._news.tell_judges(order)
 
     def _is_ending(self):
         return any(_takes_all(r) for _, r in self._view.list_active_rollouts())
 
+    def _list_others(self, service):
+        """Return the names of the other instances that are present."""
+        names = self._news.rank_instances(service)
+        return [name for name in names if name != self._name]
+
     def _may_lead(self, service):
         """Return whether this instance hears the tallies that stages go by."""
         return self._name in self._news.list_judges(service)
--- a/src/merlinnotch/_entry/tallies.py
+++ b/src/merlinnotch/_entry/tallies.py
@@ -18,16 +18,18 @@
 
     *on_verdict* is called with service, index of the order, and target when a
     judge has convicted a version. Counters come with how long the order has
-    stood, which an instance that restarted can't know.
+    stood, which an instance that restarted can't know. *on_heard* is called with
+    service, index of the order, and the name of an instance that told its counters.
     """
 
-    def __init__(self, port, name, view, book, read_clock, on_verdict):
+    def __init__(self, port, name, view, book, read_clock, on_verdict, on_heard):
         self._port = port
         self._name = name
         self._view = view
         self._book = book
         self._read_clock = read_clock
         self._on_verdict = on_verdict
+        self._on_heard = on_heard
         port.handle(MessageKind.TALLY, self._take_tallies)
         port.handle(MessageKind.VERDICT, self._take_verdict)
 
@@ -49,7 +51,8 @@
         ]
         age_s = self._view.get_rollout(order.service).measure_age(self._read_clock())
         head = [order.service, order.index, age_s, self._book.incarnation]
-        for start in range(0, len(rows), ROWS):
+        # One that has counted nothing says so: who is silent may be cut off.
+        for start in range(0, max(1, len(rows)), ROWS):
             body = [*head, rows[start : start + ROWS]]
             self._port.send(MessageKind.TALLY, body, judges)
 
@@ -68,6 +71,7 @@
         rollout = self._view.get_rollout(service)
         if rollout.order is not None and rollout.order.index == order:
             rollout.raise_age(age_s, self._read_clock())
+        self._on_heard(service, order, incarnation.partition("/")[0])
         for version, route, *counts in rows:
             key = TallyKey(service, version, route, order)
             self._book.merge(key, incarnation, Tally(*counts))
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -1,6 +1,7 @@
 """Moving a service to a new version, and back from a bad one."""
 
 from .chooser import VersionChooser
+from .hearing import Hearing
 from .sessions import place_session
 from .speed import SpeedBook
 from .stages import FIRST_STAGE, Exposure, Schedule, StagePlan
@@ -10,6 +11,7 @@
 __all__ = [
     "FIRST_STAGE",
     "Exposure",
+    "Hearing",
     "Schedule",
     "SpeedBook",
     "StagePlan",
--- a/src/merlinnotch/_rollout/stages.py
+++ b/src/merlinnotch/_rollout/stages.py
@@ -16,6 +16,11 @@
 ENOUGH_ANSWERS = 25
 """Answers of the second stage that convict a version with a third of its answers
 bad, or slow, in 9 of 10 cases."""
+LEAST_ANSWERS = 4
+"""Answers of the new version without which it does not get all traffic, unless the
+allowance covers all requests of the period. Fewer can't convict it. More can't be
+had everywhere: of 26 requests a second with a tenth allowed, a period of 16 s leaves
+eight for the stages before the last one."""
 SESSIONS_FROM = 0.55
 """Sessions stay on their version through the first half of the period."""
 USED_PART = 0.85
@@ -61,17 +66,26 @@
     """
 
     def __init__(self, share, slack):
-        self._share = share
+        self.share = share
         self._slack = slack
 
-    def find_due(self, age_s, period_s, exposure):
-        """Return the :class:`StagePlan` that should be in force."""
+    def plan_first(self):
+        """Return the first :class:`StagePlan`."""
+        return StagePlan(FIRST_STAGE, FIRST_PART * self.share)
+
+    def find_due(self, age_s, period_s, exposure, answers):
+        """Return the :class:`StagePlan` that should be in force.
+
+        *exposure* may be an estimate, *answers* of the new version were counted.
+        """
         if age_s < SESSIONS_FROM * period_s:
-            return StagePlan(FIRST_STAGE, FIRST_PART * self._share)
+            return self.plan_first()
         rate = exposure.total / age_s
         left_s = max(0.0, period_s - age_s)
         spare = self._measure_spare(rate, left_s, exposure)
-        if spare >= BURST * rate * left_s:
+        coming = BURST * rate * left_s
+        is_covered = exposure.total + coming <= self._slack
+        if spare >= coming and (answers >= LEAST_ANSWERS or is_covered):
             return StagePlan(LAST_STAGE, 1.0)
         share = self._choose_share(spare, rate, left_s, exposure.new)
         return StagePlan(SESSION_STAGE, share)
@@ -86,7 +100,7 @@
     def _measure_spare(self, rate, left_s, exposure):
         """Return how many more requests the new version may get."""
         total = exposure.total + BURST * rate * left_s
-        return USED_PART * (self._share * total + self._slack) - exposure.new
+        return USED_PART * (self.share * total + self._slack) - exposure.new
 
     def _choose_share(self, spare, rate, left_s, seen):
         """Return the second stage's share, for the longest last stage it allows."""
@@ -95,5 +109,5 @@
             rest = spare - BURST * rate * last_s
             if seen + rest >= ENOUGH_ANSWERS:
                 break
-        most = MOST_PART * self._share
+        most = MOST_PART * self.share
         return min(most, max(LEAST_SHARE, rest / coming)) if coming else most
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -6,11 +6,18 @@
 import pytest
 
 from merlinnotch._entry import conductor, tallies
-from merlinnotch._fleet import RolloutOrder, Stage
+from merlinnotch._fleet import (
+    PeerAddress,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    Stage,
+    Upstream,
+)
 from merlinnotch._fleet.records import decode_record, encode_stage, stage_key
 from merlinnotch._fleet.view import FleetView
 from merlinnotch._rendezvous import rank
-from merlinnotch._rollout import Schedule, TallyBook, TallyKey
+from merlinnotch._rollout import Schedule, Tally, TallyBook, TallyKey
 from standins.platform_upstream import answer, stream
 from tests.platform_world import PLAIN, PORTS, STREAM, Caller, wait_until
 
@@ -222,6 +229,88 @@
         return True
 
 
+class RecordingStore:
+    """Keeps what is written instead of sending it."""
+
+    def __init__(self):
+        self.keys = []
+
+    def swap(self, key, value, index):
+        """Note the key."""
+        self.keys.append(key)
+
+
+def make_newcomer(counted):
+    """Return an instance that is the first in turn late in a roll-out, and its store.
+
+    It started just now; three others are present. *counted* are answers of the
+    old and of the new version that it knows of.
+    """
+    view = FleetView(lambda *item: None)
+    names = rank("app", [f"name-{number}" for number in range(4)])
+    for name in names[1:]:
+        view.peers[name] = PeerAddress(name, "zone-a", "127.0.0.1:1")
+        view._present_peers.add(name)
+    view._upstreams["app"] = {"i-2": Upstream("i-2", "app", "h:1", "zone-a", "v2", 4)}
+    rollout = view.get_rollout("app")
+    rollout.order = RolloutOrder("app", "v2", 24.0, 5)
+    rollout.status = RolloutStatus("app", "v2", RolloutState.ACTIVE, 6)
+    rollout.stage = Stage("app", 5, 2, 0.1, 13.5, 7)
+    rollout.seen_at, rollout.age_at_sight_s = 100.0, 19.0
+    book = TallyBook("own")
+    for version, count in zip(("v1", "v2"), counted, strict=True):
+        key = TallyKey("app", version, "route", 5)
+        book.merge(key, "other", Tally(count, 0, 0))
+    store = RecordingStore()
+    clock = Clock(100.0)
+    lead = conductor.Conductor(
+        store, view, book, RecordingPort(), Schedule(0.15, 30.0), names[0], clock.read
+    )
+    return lead, store, clock, names[1:]
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self, now):
+        self.now = now
+
+    def read(self):
+        """Return the present."""
+        return self.now
+
+
+def lead_for(lead, clock, seconds, tell=()):
+    """Let *lead* act for *seconds*, while the instances *tell* say something."""
+    until = clock.now + seconds
+    while clock.now < until:
+        clock.now += conductor.TICK_S
+        for name in tell:
+            lead._note_heard("app", 5, name)
+        for service, rollout in lead._view.list_active_rollouts():
+            lead._lead(service, rollout, clock.now)
+
+
+def test_an_instance_that_hears_nobody_moves_nothing_up():
+    # One that had started 1.5 s before moved all traffic to a bad version with
+    # "0 bad and 0 slow of 0" counted; 396 requests too many reached it.
+    lead, store, clock, _ = make_newcomer((0, 0))
+    lead_for(lead, clock, 4.5)
+    assert store.keys == []
+
+
+def test_an_instance_that_hears_most_others_goes_on():
+    lead, store, clock, others = make_newcomer((400, 40))
+    lead_for(lead, clock, 4.5, tell=others[:2])
+    assert stage_key("app") in store.keys
+
+
+def test_without_answers_of_the_new_version_it_does_not_get_all_traffic():
+    lead, store, clock, others = make_newcomer((400, 0))
+    lead_for(lead, clock, 4.5, tell=others)
+    assert store.keys == []
+
+
 def test_two_roll_outs_at_once_both_tell_their_counters():
     view = FleetView(lambda *item: None)
     book = TallyBook("one")
--- a/tests/rollout/test_stages.py
+++ b/tests/rollout/test_stages.py
@@ -16,7 +16,8 @@
     age_s = step_s
     while age_s <= period_s:
         now_rate = rate * (burst if burst_at and age_s > burst_at else 1.0)
-        due = schedule.find_due(age_s, period_s, Exposure(int(new), int(total)))
+        seen = Exposure(int(new), int(total))
+        due = schedule.find_due(age_s, period_s, seen, int(new))
         if due.share >= 1.0 and moved_at is None:
             moved_at = age_s
         total += now_rate * step_s
@@ -68,6 +69,6 @@
 def test_the_stage_before_the_last_brings_enough_answers_to_judge_by(rate, share):
     schedule = Schedule(share, 30.0)
     age_s = 0.6 * PERIOD_S
-    due = schedule.find_due(age_s, PERIOD_S, Exposure(0, int(rate * age_s)))
+    due = schedule.find_due(age_s, PERIOD_S, Exposure(0, int(rate * age_s)), 0)
     assert due.number == 2
     assert due.share * rate * (PERIOD_S - 2.6 - age_s) >= 20
