--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -40,6 +40,7 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
+    longest_pause_at: float | None = None
     confidence: float | None = None
     slowdown: float | None = None
 
@@ -47,6 +48,17 @@
         """Return the seconds until the deadline."""
         return self.deadline - now
 
+    def name_delay(self):
+        """Return what made a stream late so far, None where nothing did."""
+        first_at = self.first_event_at
+        if first_at is None:
+            return None
+        if first_at - self.arrived_at > self.route.goal_s:
+            return "first event"
+        if 0.0 < self.route.pause_goal_s < self.longest_pause_s:
+            return "pause"
+        return None
+
     @property
     def may_run_again(self):
         """Whether it can be sent once more although it may have run."""
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -68,7 +68,9 @@
             call.first_event_at = now
         else:
             pause_s = now - call.last_event_at
-            call.longest_pause_s = max(call.longest_pause_s, pause_s)
+            if pause_s > call.longest_pause_s:
+                call.longest_pause_s = pause_s
+                call.longest_pause_at = now
         call.last_event_at = now
         attempt.first_at = attempt.first_at or now
         attempt.last_at = now
