A request without a reply in time leaves the others of its link waiting

Cause of the known red booking that was answered 409 unknown where 200 is due: a link to a peer carries all requests, and one of a second that got no reply (gossip, a record) closed it for the one that waited for the running booking. Ruled out: peers that give the holder up (suspected after 6 s), the wait itself (as long as the caller's).

A link that was silent once gets no new requests, and stays open for those who allow more time.

--- a/src/merlinnotch/_links/link.py
+++ b/src/merlinnotch/_links/link.py
@@ -25,11 +25,32 @@
         self.sent = sent
 
 
+class _Channel:
+    """One websocket and the replies that are waited for on it.
+
+    It is *retired* once a request got no reply in time: nothing new is asked on it,
+    but what it still owes may come.
+    """
+
+    def __init__(self, socket):
+        self.socket = socket
+        self.replies = {}
+        self.retired = False
+
+    def fail_all(self):
+        """Tell all who wait that nothing will come."""
+        waiting, self.replies = self.replies, {}
+        for reply in waiting.values():
+            if not reply.ready():
+                reply.send(None)
+
+
 class PeerLink:
     """One connection to a peer, opened when first needed.
 
-    A request without a reply in time closes the connection, so that a link
-    that has gone silent is not used again; the next request opens a new one.
+    After a request without a reply in time the next one opens a new connection, as
+    this one may have gone silent. It stays open for the requests that allow more
+    time: a peer that was paused for a second and a half answers them afterwards.
     """
 
     def __init__(self, address, peer_key, source_ip, metrics):
@@ -37,49 +58,60 @@
         self._peer_key = peer_key
         self._source_ip = source_ip
         self._metrics = metrics
-        self._socket = None
+        self._channel = None
         self._correlations = itertools.count(1)
-        self._replies = {}
+        self._waiting = 0
         self._opening = eventlet.semaphore.Semaphore()
         self._used_at = float("-inf")
 
     def request(self, message, timeout_s):
         """Return the peer's reply; raises :class:`PeerUnreachable`."""
         self._used_at = time.monotonic()
-        socket = self._open()
-        correlation = next(self._correlations)
-        reply = self._replies[correlation] = Event()
+        channel = self._open()
+        self._waiting += 1
         try:
-            with self._metrics.measure_control():
-                data = encode_message(message, correlation)
-            self._metrics.control_bytes.labels("out").inc(len(data))
-            with eventlet.Timeout(timeout_s, False):
-                socket.send(data)
-                answer = reply.wait()
-                if answer is not None:
-                    return answer
-        except (OSError, websockets.ConnectionClosed):
-            pass
+            answer = self._ask(channel, message, timeout_s)
         finally:
-            self._replies.pop(correlation, None)
-        self._drop(socket)
-        raise PeerUnreachable(self.address, sent=True)
+            self._waiting -= 1
+            if channel.retired and not channel.replies:
+                eventlet.spawn(_close_quietly, channel.socket)
+        if answer is None:
+            raise PeerUnreachable(self.address, sent=True)
+        return answer
 
     def is_idle(self, now):
         """Whether nothing was asked for long, so that the link may close."""
-        return not self._replies and now - self._used_at > IDLE_CLOSE_S
+        return not self._waiting and now - self._used_at > IDLE_CLOSE_S
 
     def close(self):
         """Close the connection, if one is open."""
-        if self._socket is not None:
-            self._drop(self._socket)
+        if self._channel is not None:
+            self._drop(self._channel)
+
+    def _ask(self, channel, message, timeout_s):
+        """Return the reply, or None where none came in time."""
+        correlation = next(self._correlations)
+        reply = channel.replies[correlation] = Event()
+        try:
+            with self._metrics.measure_control():
+                data = encode_message(message, correlation)
+            self._metrics.control_bytes.labels("out").inc(len(data))
+            with eventlet.Timeout(timeout_s, False):
+                channel.socket.send(data)
+                return reply.wait()
+            self._retire(channel)
+        except (OSError, websockets.ConnectionClosed):
+            self._drop(channel)
+        finally:
+            channel.replies.pop(correlation, None)
+        return None
 
     def _open(self):
         with self._opening:
-            if self._socket is None:
-                self._socket = self._connect()
-                eventlet.spawn(self._read, self._socket)
-            return self._socket
+            if self._channel is None:
+                self._channel = _Channel(self._connect())
+                eventlet.spawn(self._read, self._channel)
+            return self._channel
 
     def _connect(self):
         try:
@@ -97,27 +129,28 @@
         except (OSError, websockets.WebSocketException) as error:
             raise PeerUnreachable(self.address, sent=False) from error
 
-    def _read(self, socket):
+    def _read(self, channel):
         try:
-            for data in socket:
+            for data in channel.socket:
                 self._metrics.control_bytes.labels("in").inc(len(data))
                 with self._metrics.measure_control():
                     correlation, message = decode_message(data)
-                reply = self._replies.get(correlation)
+                reply = channel.replies.get(correlation)
                 if reply is not None and not reply.ready():
                     reply.send(message)
         except (OSError, ValueError, websockets.ConnectionClosed):
             pass
-        self._drop(socket)
-
-    def _drop(self, socket):
-        if self._socket is socket:
-            self._socket = None
-            waiting, self._replies = self._replies, {}
-            for reply in waiting.values():
-                if not reply.ready():
-                    reply.send(None)
-            eventlet.spawn(_close_quietly, socket)
+        self._drop(channel)
+
+    def _retire(self, channel):
+        channel.retired = True
+        if self._channel is channel:
+            self._channel = None
+
+    def _drop(self, channel):
+        self._retire(channel)
+        channel.fail_all()
+        eventlet.spawn(_close_quietly, channel.socket)
 
 
 def _close_quietly(socket):
--- a/tests/scenarios/ledger.feature
+++ b/tests/scenarios/ledger.feature
@@ -10,6 +10,14 @@
     And booking "b-1" has run 1 time
     And exactly 1 request is billed
 
+  Scenario: The entry that runs a booking is paused while it is repeated
+    Given a booking "b-9" that takes long is sent through entry 0
+    When booking "b-9" is repeated through entry 2 in the background
+    And entry 0 is paused for 1.6 seconds
+    And the calls in the background end
+    Then all 2 answers are whole
+    And booking "b-9" has run 1 time
+
   Scenario: The entry is killed while a booking runs
     Given a booking "b-2" that takes long is sent through entry 0
     When entry 0 is killed
--- a/tests/scenarios/test_ledger.py
+++ b/tests/scenarios/test_ledger.py
@@ -1,5 +1,7 @@
 """Steps of the ledger's scenarios."""
 
+import time
+
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from standins.stack import wait_for
@@ -93,3 +95,18 @@
     for entry in (0, 2):
         wait_for(lambda e=entry: world.metric(e, posted) == 1, f"bill of {entry}")
     assert world.read_bills() == 1
+
+
+@when(
+    parsers.parse('booking "{key}" is repeated through entry {n:d} in the background')
+)
+def _repeat_beside(world, key, n):
+    world.later(world.book, n, key, **{"X-Merlinnotch-Deadline-Ms": "60000"})
+    time.sleep(0.5)
+
+
+@when(parsers.parse("entry {n:d} is paused for {seconds:g} seconds"))
+def _pause(world, n, seconds):
+    world.entry(n).process.freeze()
+    time.sleep(seconds)
+    world.entry(n).process.thaw()
