--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -150,7 +150,7 @@
         )
 
     def _is_done(self, stage, age_s, period_s):
-        if stage is None or not stage.takes_all:
+        if not stage.takes_all:
             return False
         return self._schedule.is_complete(age_s, period_s, age_s - stage.age_s)
 
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -188,7 +188,10 @@
         now = self._read_clock()
         call.confidence = attempt.note.confidence
         call.slowdown = self._parts.loads.measure_slowdown(upstreams, now)
-        larger = self._parts.cascade.choose_next(
+        cascade = self._parts.cascade
+        if not cascade.is_doubtful(call.route, call.model, call.confidence):
+            return None
+        larger = cascade.choose_next(
             call.route,
             service.engine if service else None,
             call.model,
--- a/src/merlinnotch/_placement/cascade.py
+++ b/src/merlinnotch/_placement/cascade.py
@@ -72,15 +72,21 @@
         """Return the model for the first run."""
         return route.models[0]
 
+    def is_doubtful(self, route, model, confidence):
+        """Return whether another run could add anything, however idle engines are."""
+        if model == route.models[-1] or confidence is None:
+            return False
+        return estimate_hard(confidence) > 0.0
+
     def choose_next(self, route, engine, model, confidence, call, load):
         """Return the model for another run, or None to deliver this answer.
 
         *confidence* is the model's opinion of its answer, None where it gives
         none; *load* is a :class:`PoolLoad`.
         """
-        largest = route.models[-1]
-        if model == largest or confidence is None:
+        if not self.is_doubtful(route, model, confidence):
             return None
+        largest = route.models[-1]
         gain = self._measure_value(route, call) * _estimate_gain(
             route, confidence, load
         )
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -144,13 +144,8 @@
     wait_until(lambda: read_state(world) == "reverted", 8.0)
 
 
-def test_a_slow_version_is_convicted_before_its_streams_end(world):
-    world.add_upstream("i-1", stream(last=8, pause_s=0.01), service="engines")
-    one = world.add_instance("one")
-    for _ in range(12):
-        assert Caller(one).send(STREAM, "POST", b"x").whole
-    slow = stream(last=200, pause_s=0.08)
-    world.add_upstream("i-2", slow, service="engines", version="v2")
+def move_engines(world, one):
+    """Send all traffic of the engines to a new version; return the roll-out."""
     document = {"service": "engines", "target": "v2", "period-s": 60.0}
     world.store.put("op/rollout/engines", document)
     rollout = one.view.get_rollout("engines")
@@ -158,6 +153,17 @@
     stage = Stage("engines", rollout.order.index, 3, 1.0)
     world.store.put(stage_key("engines"), encode_stage(stage))
     wait_until(lambda: rollout.current_stage and rollout.current_stage.share == 1.0)
+    return rollout
+
+
+def test_a_slow_version_is_convicted_before_its_streams_end(world):
+    world.add_upstream("i-1", stream(last=8, pause_s=0.01), service="engines")
+    one = world.add_instance("one")
+    for _ in range(12):
+        assert Caller(one).send(STREAM, "POST", b"x").whole
+    slow = stream(last=200, pause_s=0.08)
+    world.add_upstream("i-2", slow, service="engines", version="v2")
+    rollout = move_engines(world, one)
     socks = [Caller(one).open() for _ in range(8)]
     for sock in socks:
         sock.sendall(Caller(one).encode(STREAM, "POST", b"x"))
@@ -184,13 +190,7 @@
             assert Caller(one).send(STREAM, "POST", b"x", x_model=model).whole
     slow = script({"small": 0.08, "large": 0.64})
     world.add_upstream("i-2", slow, service="engines", version="v2")
-    document = {"service": "engines", "target": "v2", "period-s": 60.0}
-    world.store.put("op/rollout/engines", document)
-    rollout = one.view.get_rollout("engines")
-    wait_until(lambda: rollout.order is not None)
-    stage = Stage("engines", rollout.order.index, 3, 1.0)
-    world.store.put(stage_key("engines"), encode_stage(stage))
-    wait_until(lambda: rollout.current_stage and rollout.current_stage.share == 1.0)
+    rollout = move_engines(world, one)
     for _ in range(8):
         Caller(one).send(STREAM, "POST", b"x", x_model="small")
     wait_until(lambda: "v2" in rollout.bad_versions, 3.0)
