Engines with few places take all requests alike

Change: where a place takes longer to become free than a short prompt to read (2 s by the number of places, against 100 ms: fewer than 20 places), all requests have one urgency. Larger batches keep shortest first.

--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -70,7 +70,9 @@
             self._news.tell_work(upstream, estimate.reading_ms)
         call.may_have_run = True
         try:
-            urgency = choose_urgency(estimate.reading_ms) if work.model else None
+            urgency = None
+            if work.model:
+                urgency = choose_urgency(estimate.reading_ms, upstream.slots)
             head = self._exchange(call, upstream, connection, until, urgency)
         except BaseException:
             connection.close()
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .._rendezvous import rank_first
+from .places import measure_place_ms
 
 ZONE_PENALTY_MS = 3.0
 """A request stays in its zone unless another upstream is that much sooner: the
@@ -25,10 +26,6 @@
 DRAWN_FAR = 1
 """Engines drawn in the own availability zone and elsewhere, where there are more. Nine
 of ten requests then stay in their zone, with two and two three of four."""
-PLACE_HELD_MS = 2000.0
-"""How long a request holds its place in an engine's batch, about: streams of large
-models take 3 to 5 s, short answers 0.2 s. In a batch of 12 one place becomes free each
-170 ms, in one of 64 each 30 ms."""
 
 
 @dataclass(frozen=True)
@@ -161,7 +158,7 @@
         counts of independent arrivals are.
         """
         beyond = busy + math.sqrt(max(0.0, busy)) - upstream.slots
-        return max(0.0, beyond) * PLACE_HELD_MS / max(1, upstream.slots)
+        return max(0.0, beyond) * measure_place_ms(upstream.slots)
 
     def _zone_cost(self, upstream):
         return 0.0 if upstream.zone == self._zone else ZONE_PENALTY_MS
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -16,6 +16,7 @@
     PoolLoad,
     PrefixCache,
     Work,
+    choose_urgency,
 )
 from merlinnotch._placement.backlog import Backlog
 from merlinnotch.platform.headers import CallHeaders, PromptPart
@@ -152,6 +153,16 @@
     assert picks.count("a") == 100
 
 
+@pytest.mark.parametrize(
+    ("reading_ms", "slots", "urgency"),
+    [(40, 64, 2), (200, 64, 4), (800, 64, 6), (40, 12, 4), (800, 12, 4), (800, 24, 6)],
+)
+def test_short_prompts_go_first_where_batches_have_many_places(
+    reading_ms, slots, urgency
+):
+    assert choose_urgency(reading_ms, slots) == urgency
+
+
 def test_a_failing_upstream_is_the_last_choice_and_comes_back(placer, loads):
     group = [upstream("u1"), upstream("u2", zone="b")]
     for _ in range(3):
