Four engines are drawn also where the own zone has none; a part that was never used goes

Zones without engines of their own weighed one drawn engine and the home.

Change: what the own zone lacks is drawn elsewhere.

--- a/benchmarks/full_batches.py
+++ b/benchmarks/full_batches.py
@@ -151,7 +151,7 @@
 
     def _answer_head(self, now, name, upstream):
         running, waiting = self._batches[upstream.id].count(now)
-        self._loads[name].note_report(upstream, running, waiting, now)
+        self._loads[name].get(upstream).note_report(running, waiting, now)
         self._fabric.news[name].tell_report(upstream, running, waiting)
 
     def _end(self, now, name, upstream, took_s):
@@ -171,7 +171,8 @@
         loads = self._loads[name]
         loads.get(upstream).backlog.note(row.reading_ms, self._fabric.now)
         if row.running is not None:
-            loads.note_report(upstream, row.running, row.waiting, self._fabric.now)
+            load = loads.get(upstream)
+            load.note_report(row.running, row.waiting, self._fabric.now)
 
 
 def main():
--- a/src/merlinnotch/_placement/load.py
+++ b/src/merlinnotch/_placement/load.py
@@ -7,8 +7,7 @@
 from .cache import PrefixCache
 
 REPORT_HALF_LIFE_S = 1.0
-"""A load report counts half after this time; others change the load meanwhile. What
-it counts less, the usual load of the other upstreams counts more."""
+"""A load report counts half after this time; others change the load meanwhile."""
 FAILURE_HALF_LIFE_S = 3.0
 """A failure counts half after this time: an upstream that came back is in full
 use again after some ten seconds, one that fails on is found within a few."""
@@ -100,16 +99,12 @@
         age = max(0.0, now - self._failed_at)
         return self._failing * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
-    def estimate_busy(self, now, usual=0.0):
-        """Return how many requests are probably there, ours and others'.
-
-        *usual* is what other instances have at an upstream like this one on average:
-        one that said nothing lately is no idler than the rest.
-        """
+    def estimate_busy(self, now):
+        """Return how many requests are probably there, ours and others'."""
         age = max(0.0, now - self.reported_at)
         trust = 0.5 ** (age / REPORT_HALF_LIFE_S)
         others = max(0, self.running + self.waiting - self.own_then)
-        return self.in_flight + usual + (others - usual) * trust
+        return self.in_flight + others * trust
 
     def _decay(self, now):
         self._failing = self.measure_failing(now)
--- a/src/merlinnotch/_placement/loads.py
+++ b/src/merlinnotch/_placement/loads.py
@@ -6,9 +6,6 @@
 from .load import UpstreamLoad
 
 DEFAULT_MEMORY_TOKENS = 100_000
-USUAL_WEIGHT = 0.05
-"""Weight of the newest report in the usual load of a version's upstreams; an instance
-hears some twenty a second."""
 
 
 class LoadTable:
@@ -22,7 +19,6 @@
         self._find_engine = find_engine
         self._generator = generator
         self._loads = {}
-        self._usual = {}
 
     def get(self, upstream):
         """Return the load of *upstream*."""
@@ -35,20 +31,6 @@
             self._loads[upstream.start] = load
         return load
 
-    def note_report(self, upstream, running, waiting, now):
-        """Take an upstream's own words of its load."""
-        load = self.get(upstream)
-        load.note_report(running, waiting, now)
-        others = max(0, running + waiting - load.own_then)
-        key = (upstream.service, upstream.version)
-        known = self._usual.get(key, float(others))
-        self._usual[key] = known + USUAL_WEIGHT * (others - known)
-
-    def estimate_busy(self, upstream, now):
-        """Return how many requests are probably at *upstream*."""
-        usual = self._usual.get((upstream.service, upstream.version), 0.0)
-        return self.get(upstream).estimate_busy(now, usual)
-
     def drop(self, start):
         """Forget an upstream that has left; *start* is an :class:`UpstreamStart`."""
         self._loads.pop(start, None)
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -22,10 +22,10 @@
 MOST_WEIGHED = 12
 """Up to this many engines all are weighed: the few instances before them tell each
 other at once what they send."""
+DRAWN = 4
 DRAWN_NEAR = 3
-DRAWN_FAR = 1
-"""Engines drawn in the own availability zone and elsewhere, where there are more. Nine
-of ten requests then stay in their zone, with two and two three of four."""
+"""Engines drawn where there are more, and how many of them in the own availability zone
+at most. Nine of ten requests then stay in it, with two near and two far three of four."""
 
 
 @dataclass(frozen=True)
@@ -121,7 +121,8 @@
             return upstreams
         near = [u for u in upstreams if u.zone == self._zone]
         far = [u for u in upstreams if u.zone != self._zone]
-        drawn = self._sample(near, DRAWN_NEAR) + self._sample(far, DRAWN_FAR)
+        drawn = self._sample(near, DRAWN_NEAR)
+        drawn += self._sample(far, DRAWN - len(drawn))
         if home is not None:
             drawn.append(home)
         return drawn
@@ -134,7 +135,7 @@
 
     def _rate_plain(self, upstream, now):
         load = self._loads.get(upstream)
-        busy = self._loads.estimate_busy(upstream, now) / max(1, upstream.slots)
+        busy = load.estimate_busy(now) / max(1, upstream.slots)
         cost = load.latency_s * 1000.0 * (1.0 + 2.0 * busy)
         cost += FAILURE_MS * load.measure_failing(now)
         if upstream.cold_s > 0:
@@ -145,7 +146,7 @@
         load = self._loads.get(upstream)
         missing = self.count_missing(upstream, work, home)
         reading = missing * self._paces.get(work.model) + load.backlog.measure(now)
-        busy = self._loads.estimate_busy(upstream, now)
+        busy = load.estimate_busy(now)
         batch = busy * STEP_MS_PER_REQUEST + self._estimate_place_wait(upstream, busy)
         waiting = load.waiting * STEP_MS_PER_REQUEST
         failing = FAILURE_MS * load.measure_failing(now)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -104,21 +104,11 @@
     group = [upstream("u1", slots=12), upstream("u2", slots=12)]
     work = Work(prompt(("own", 2000)), "small")
     loads.get(group[0]).cache.note("small", work.prompt)
-    loads.note_report(group[0], 12, 0, 0.0)
-    loads.note_report(group[1], 3, 0, 0.0)
+    loads.get(group[0]).note_report(12, 0, 0.0)
+    loads.get(group[1]).note_report(3, 0, 0.0)
     assert placer.pick(group, work, 0.1) is group[1]
 
 
-def test_an_upstream_that_said_nothing_lately_is_as_busy_as_the_rest(loads):
-    group = [upstream(f"u{n}") for n in range(4)]
-    for one in group[:3]:
-        loads.note_report(one, 9, 1, 0.0)
-    assert loads.estimate_busy(group[3], 0.0) == pytest.approx(10.0)
-    loads.note_report(group[3], 1, 0, 0.0)
-    assert loads.estimate_busy(group[3], 0.0) < 2
-    assert loads.estimate_busy(group[3], 10.0) > 8
-
-
 def test_instances_that_hear_of_one_idle_engine_do_not_all_take_it():
     # All that weighed every engine by the same news took the same one.
     group = [upstream(f"u{n}", zone="abcdef"[n % 6], slots=12) for n in range(60)]
@@ -126,7 +116,7 @@
     for number in range(100):
         loads = LoadTable(lambda service: ENGINE, random.Random(number))
         for one in group:
-            loads.note_report(one, 0 if one is group[0] else 8, 0, 0.0)
+            loads.get(one).note_report(0 if one is group[0] else 8, 0, 0.0)
         placer = Placer("a", loads, PaceBook(), random.Random(number))
         work = Work(prompt((f"own-{number}", 800)), "small")
         picks.append(placer.pick(group, work, 0.05).id)
@@ -145,6 +135,17 @@
     assert len(picks) == 1
 
 
+def test_where_the_own_zone_has_no_engines_as_many_others_are_weighed():
+    group = [upstream(f"u{n}", zone="bcdef"[n % 5], slots=12) for n in range(60)]
+    loads = LoadTable(lambda service: ENGINE)
+    for one in group[::2]:
+        loads.get(one).backlog.note(9000.0, 0.0)
+    placer = Placer("a", loads, PaceBook(), random.Random(3))
+    picks = [placer.pick(group, Work((), "small"), 0.0) for _ in range(60)]
+    # Of four drawn ones all read a long prompt once in sixteen times.
+    assert sum(one in group[::2] for one in picks) <= 9
+
+
 def test_most_requests_stay_in_their_zone_among_many_engines():
     group = [upstream(f"u{n}", zone="abcdef"[n % 6], slots=12) for n in range(60)]
     placer = Placer("a", LoadTable(lambda service: ENGINE), PaceBook())
