--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -24,8 +24,8 @@
 other at once what they send."""
 DRAWN = 4
 DRAWN_NEAR = 3
-"""Engines drawn where there are more, and how many of them in the own availability zone
-at most. Nine of ten requests then stay in it, with two near and two far three of four."""
+"""Engines drawn where there are more, and how many of them in the own availability
+zone at most. Nine of ten requests then stay in it, with two each three of four."""
 
 
 @dataclass(frozen=True)
