--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+from dataclasses import dataclass
 
 from .speed import Speed, compare_speeds
 from .tallies import Tally
@@ -44,6 +45,51 @@
     """Faults that may be chance, or may not."""
 
 
+@dataclass(frozen=True)
+class Comparison:
+    """Answers of the new version and of the one before, and how long they took.
+
+    *route* is None where those of all routes are taken together.
+    """
+
+    route: str | None
+    new: Tally
+    old: Tally
+    speed: Speed
+
+    @property
+    def convicts(self):
+        """Whether the new version is shown to be worse."""
+        return is_worse(self.new, self.old) or is_slower(self.speed)
+
+    @property
+    def raises_doubt(self):
+        """Whether a sound version would seldom answer like this."""
+        chance_bad = _measure_chance_bad(self.new, self.old)
+        return min(chance_bad, _measure_chance_slow(self.speed)) < DOUBT_BELOW
+
+    @property
+    def clears(self):
+        """Whether a bad version would seldom answer as well as this."""
+        bad_rate = BAD_SHARE + _get_bad_rate(self.old)
+        if not _is_cleared(self.new.bad, self.new.answers, bad_rate):
+            return False
+        slow_rate = BAD_SHARE + self.speed.usual_rate
+        # Where no answer has its like, nothing is known of their times.
+        return not self.speed.answers or _is_cleared(
+            self.speed.slow, self.speed.answers, slow_rate
+        )
+
+    def describe(self):
+        """Return the counts in words, for logs."""
+        return (
+            f"{self.new.bad} bad of {self.new.answers}, "
+            f"before {self.old.bad} of {self.old.answers}; "
+            f"{self.speed.slow} slow of {self.speed.answers}, "
+            f"usual {self.speed.usual:.1f}"
+        )
+
+
 def is_slower(speed):
     """Return whether the :class:`Speed` of a version convicts it."""
     return speed.slow >= MIN_SLOW and _measure_chance_slow(speed) < CONVICT_BELOW
@@ -64,11 +110,12 @@
     Looks at all routes together and at each one alone: some versions fail on
     one route only. *counts* are :class:`AnswerCounts`.
     """
-    for route, new, old, speed in _compare_routes(counts, order):
-        if is_worse(new, old) or is_slower(speed):
-            part = f"route {route}: " if route else ""
-            return part + _describe(new, old, speed)
-    return None
+    routes = _compare_routes(counts, order)
+    for comparison in routes:
+        if comparison.convicts:
+            return f"route {comparison.route}: {comparison.describe()}"
+    total = _add_routes(routes)
+    return total.describe() if total.convicts else None
 
 
 def weigh_version(counts, order):
@@ -77,38 +124,44 @@
     A version that fails or delays a third of its answers gets all traffic only by
     chance of one in ten; without this, one with 8 slow of 16 answers had got it.
     """
-    *routes, (_, new, old, speed) = _compare_routes(counts, order)
-    if any(_is_doubtful(*parts) for _, *parts in routes):
+    routes = _compare_routes(counts, order)
+    if any(comparison.raises_doubt for comparison in routes):
         return Standing.DOUBTFUL
-    bad_rate = BAD_SHARE + _get_bad_rate(old)
-    slow_rate = BAD_SHARE + speed.usual_rate
-    is_fast = not speed.answers or _is_cleared(speed.slow, speed.answers, slow_rate)
-    if is_fast and _is_cleared(new.bad, new.answers, bad_rate):
+    total = _add_routes(routes)
+    if total.clears:
         return Standing.SOUND
-    return Standing.DOUBTFUL if new.bad or speed.slow else Standing.UNKNOWN
+    return Standing.DOUBTFUL if total.new.bad or total.speed.slow else Standing.UNKNOWN
 
 
 def describe_tallies(counts, order):
     """Return what was counted of the target of *order* and of the rest."""
-    *_, (_, new, old, speed) = _compare_routes(counts, order)
-    return _describe(new, old, speed)
+    return _add_routes(_compare_routes(counts, order)).describe()
 
 
 def _compare_routes(counts, order):
-    """Return (route, new, old, speed) for each route, and last for all, as None."""
+    """Return a :class:`Comparison` for each route with answers of the new version."""
     book = counts.tallies
     speeds = compare_speeds(counts.times, order)
-    rows = []
-    for key in book.list_keys(order):
-        if key.version == order.target:
-            old = _sum_others(book, order, key.route)
-            rows.append((key.route, book.sum(key), old, speeds[key.route]))
+    return [
+        Comparison(
+            key.route,
+            book.sum(key),
+            _sum_others(book, order, key.route),
+            speeds[key.route],
+        )
+        for key in book.list_keys(order)
+        if key.version == order.target
+    ]
+
+
+def _add_routes(comparisons):
+    """Return the :class:`Comparison` of all routes together."""
     new, old, speed = Tally(), Tally(), Speed()
-    for _, route_new, route_old, route_speed in rows:
-        new = new.add(route_new)
-        old = old.add(route_old)
-        speed = speed.add(route_speed)
-    return [*rows, (None, new, old, speed)]
+    for comparison in comparisons:
+        new = new.add(comparison.new)
+        old = old.add(comparison.old)
+        speed = speed.add(comparison.speed)
+    return Comparison(None, new, old, speed)
 
 
 def _sum_others(book, order, route):
@@ -119,18 +172,6 @@
     return total
 
 
-def _describe(new, old, speed):
-    return (
-        f"{new.bad} bad of {new.answers}, before {old.bad} of {old.answers}; "
-        f"{speed.slow} slow of {speed.answers}, usual {speed.usual:.1f}"
-    )
-
-
-def _is_doubtful(new, old, speed):
-    chances = (_measure_chance_bad(new, old), _measure_chance_slow(speed))
-    return min(chances) < DOUBT_BELOW
-
-
 def _is_cleared(count, answers, rate):
     """Return whether a version that is bad at *rate* would have shown more."""
     return 1.0 - _tail(count + 1, answers, min(0.9, rate)) < CLEAR_BELOW
--- a/tests/entry/test_tallies.py
+++ b/tests/entry/test_tallies.py
@@ -48,11 +48,18 @@
         view._present_peers.add(other)
     view.get_rollout("app").order = ORDER
     counts = AnswerCounts.start(f"{name}/1")
-    ignore = lambda *news: None  # noqa: E731
-    news = TallyNews(wire, name, view, counts, lambda: 0.0, ignore, ignore)
+    news = TallyNews(wire, name, view, counts, read_clock, ignore, ignore)
     return news, counts
 
 
+def read_clock():
+    return 0.0
+
+
+def ignore(*news):
+    """Take nothing."""
+
+
 def count_all(book):
     return sum(book.sum(key).answers for key in book.list_keys(ORDER))
 
