--- a/benchmarks/full_batches.py
+++ b/benchmarks/full_batches.py
@@ -1,11 +1,11 @@
-"""Waits for a place in engines' batches, in a fleet of 192 instances.
+"""Waits for a slot in engines' batches, in a fleet of 192 instances.
 
 Run by ``python -m benchmarks.full_batches``.
 
-62 engines that run 12 requests each, in six zones, 45 of 100 places taken on
+62 engines that run 12 requests each, in six zones, 45 of 100 slots taken on
 average: short answers, and streams of several seconds that larger models write. The
 real placement and the real news over a network in memory; engines say how busy they are
-with the head of each answer. Prints how long requests waited for a place, and the
+with the head of each answer. Prints how long requests waited for a slot, and the
 busiest engine against the mean. Fixed seed.
 """
 
@@ -24,13 +24,13 @@
 ZONES = ("a", "b", "c", "d", "e", "f")
 INSTANCES = 192
 ENGINES = 62
-PLACES = 12
+SLOTS = 12
 SEED = 11
 SECONDS = 14.0
 WARM_UP_S = 4.0
 EXCHANGE_S = 0.2
 MS_PER_TOKEN = 0.05
-ENGINE = Engine(PLACES, 400_000, {"large": 0.24})
+ENGINE = Engine(SLOTS, 400_000, {"large": 0.24})
 
 
 @dataclass(frozen=True)
@@ -58,10 +58,10 @@
     waiting: list = field(default_factory=list)
 
     def add(self, seconds, now):
-        """Return when a request that takes *seconds* gets its place."""
+        """Return when a request that takes *seconds* gets its slot."""
         self.drop_ended(now)
         start = now
-        if len(self.ends) >= PLACES:
+        if len(self.ends) >= SLOTS:
             start = heapq.heappop(self.ends)
         self.waiting = [at for at in self.waiting if at > now]
         if start > now:
@@ -70,7 +70,7 @@
         return start
 
     def drop_ended(self, now):
-        """Free the places of requests that ended."""
+        """Free the slots of requests that ended."""
         while self.ends and self.ends[0] <= now:
             heapq.heappop(self.ends)
 
@@ -87,7 +87,7 @@
     def __init__(self, seed=SEED):
         zones = itertools.cycle(ZONES)
         self._upstreams = [
-            Upstream(f"u-{n}", "s", f"10.0.0.{n}:80", next(zones), "v1", PLACES)
+            Upstream(f"u-{n}", "s", f"10.0.0.{n}:80", next(zones), "v1", SLOTS)
             for n in range(ENGINES)
         ]
         self._by_id = {u.id: u for u in self._upstreams}
@@ -106,7 +106,7 @@
         self.unevenness = []
 
     def run(self):
-        """Play; return the seconds that each request waited for its place."""
+        """Play; return the seconds that each request waited for its slot."""
         for kind in KINDS:
             self._plan(self._draw_gap(kind), self._arrive, kind)
         self._plan(EXCHANGE_S, self._exchange)
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from .._rendezvous import rank_first
-from .places import measure_place_ms
+from .slots import measure_slot_ms
 
 ZONE_PENALTY_MS = 3.0
 """A request stays in its zone unless another upstream is that much sooner: the
@@ -147,19 +147,19 @@
         missing = self.count_missing(upstream, work, home)
         reading = missing * self._paces.get(work.model) + load.backlog.measure(now)
         busy = load.estimate_busy(now)
-        batch = busy * STEP_MS_PER_REQUEST + self._estimate_place_wait(upstream, busy)
+        batch = busy * STEP_MS_PER_REQUEST + self._estimate_slot_wait(upstream, busy)
         waiting = load.waiting * STEP_MS_PER_REQUEST
         failing = FAILURE_MS * load.measure_failing(now)
         return reading + batch + waiting + failing + self._zone_cost(upstream)
 
-    def _estimate_place_wait(self, upstream, busy):
-        """Return the milliseconds until a place in the batch is free, as expected.
+    def _estimate_slot_wait(self, upstream, busy):
+        """Return the milliseconds until a slot in the batch is free, as expected.
 
         *busy* is an estimate; it is reckoned to be too low by its square root, as
         counts of independent arrivals are.
         """
         beyond = busy + math.sqrt(max(0.0, busy)) - upstream.slots
-        return max(0.0, beyond) * measure_place_ms(upstream.slots)
+        return max(0.0, beyond) * measure_slot_ms(upstream.slots)
 
     def _zone_cost(self, upstream):
         return 0.0 if upstream.zone == self._zone else ZONE_PENALTY_MS
--- a/tests/placement/test_full_batches.py
+++ b/tests/placement/test_full_batches.py
@@ -1,4 +1,4 @@
-"""What requests wait for in a fleet of 192 instances before engines with few places."""
+"""What requests wait for in a fleet of 192 instances before engines with few slots."""
 
 import statistics
 
@@ -17,7 +17,7 @@
     return full_batches.Play()
 
 
-def test_no_request_waits_for_a_place_while_half_of_them_are_free(play):
+def test_no_request_waits_for_a_slot_while_half_of_them_are_free(play):
     # Where all engines were weighed, each instance chose the one that had last said
     # to be idle: one request in a hundred waited for over half a second.
     waits = play.run()
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -158,7 +158,7 @@
     ("reading_ms", "slots", "urgency"),
     [(40, 64, 2), (200, 64, 4), (800, 64, 6), (40, 12, 4), (800, 12, 4), (800, 24, 6)],
 )
-def test_short_prompts_go_first_where_batches_have_many_places(
+def test_short_prompts_go_first_where_batches_have_many_slots(
     reading_ms, slots, urgency
 ):
     assert choose_urgency(reading_ms, slots) == urgency
