Operators evacuate a zone: its upstreams get nothing until it is taken back

Ruled out: draining entries (the platform does not write them for an evacuation). Change: an evacuation is a fact of the mirror like the others, so that watches, the zone's relays, peers and full reads carry it; the view lists no upstream of the zone, probes stop, callers get 503 'evacuated' where nothing else is left. A spoiled value evacuates all the same (the zone stands in the key) and is counted.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -31,7 +31,11 @@
             "Version of the configuration in force",
             registry=self.registry,
         )
-
+        self.evacuated = Gauge(
+            "merlinnotch_evacuated_zones",
+            "Availability zones whose upstreams are to get no new work",
+            registry=self.registry,
+        )
         self.rejected = Gauge(
             "merlinnotch_rejected_documents",
             "Documents in the store that could not be used, by change",
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -246,6 +246,7 @@
         configuration = self.view.configuration
         self.metrics.version.set(configuration.version if configuration else 0)
         self.metrics.rejected.set(self.view.rejected)
+        self.metrics.evacuated.set(len(self.view.list_evacuated_zones()))
         text = generate_latest(self.metrics.registry)
         return OK, [("content-type", "text/plain; version=0.0.4")], text
 
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -30,7 +30,8 @@
     """The platform's store. *watch_s* bounds how long a watch is silent.
 
     A configuration has to be in force *configuration_ms* after it was accepted,
-    a leaving upstream is to get no more work *draining_ms* after it said so.
+    a leaving upstream is to get no more work *draining_ms* after it said so, the
+    upstreams of a zone *evacuating_ms* after operators evacuated it.
     """
 
     address: Address
@@ -38,11 +39,13 @@
     watch_s: Seconds = 2.0
     configuration_ms: Milliseconds = 2000
     draining_ms: Milliseconds = 2000
+    evacuating_ms: Milliseconds = 60000
 
     @property
     def in_force_s(self):
         """How soon any change has to be in force, in seconds."""
-        return min(self.configuration_ms, self.draining_ms) / 1000.0
+        bounds_ms = (self.configuration_ms, self.draining_ms, self.evacuating_ms)
+        return min(bounds_ms) / 1000.0
 
 
 class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/merlinnotch/_errors/answers.py
+++ b/src/merlinnotch/_errors/answers.py
@@ -50,6 +50,9 @@
     ),
     K.OVERLOADED: ErrorAnswer(429, "rate_limit_error", "Too much work is waiting.", 1),
     K.NO_UPSTREAM: ErrorAnswer(503, SERVER, "No upstream can take this request.", 2),
+    K.EVACUATED: ErrorAnswer(
+        503, SERVER, "All zones with upstreams for this request are evacuated.", 5
+    ),
     K.REQUEST_BLOCKED: ErrorAnswer(
         503, SERVER, "Upstreams crashed on this request; it is not sent on for now.", 60
     ),
--- a/src/merlinnotch/_errors/kinds.py
+++ b/src/merlinnotch/_errors/kinds.py
@@ -20,6 +20,7 @@
     NO_CONFIGURATION = "no_configuration"
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
+    EVACUATED = "evacuated"
     REQUEST_BLOCKED = "request_blocked"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
--- a/src/merlinnotch/_fleet/__init__.py
+++ b/src/merlinnotch/_fleet/__init__.py
@@ -10,7 +10,7 @@
     Split,
     Team,
 )
-from .facts import BlockedRequest, Fact, PeerAddress
+from .facts import BlockedRequest, Evacuation, Fact, PeerAddress
 from .rollout import RolloutOrder, RolloutState, RolloutStatus, Stage
 from .upstream import Upstream, UpstreamStart
 
@@ -19,6 +19,7 @@
     "CallerLimits",
     "Configuration",
     "Engine",
+    "Evacuation",
     "Fact",
     "PeerAddress",
     "Repeat",
--- a/src/merlinnotch/_fleet/facts.py
+++ b/src/merlinnotch/_fleet/facts.py
@@ -23,6 +23,18 @@
     fingerprint: bytes
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """Operators want nothing more sent to the upstreams of an availability zone.
+
+    It stands until its key is removed. *is_readable* is false where the key names
+    the zone but its value could not be read.
+    """
+
+    zone: str
+    is_readable: bool = True
+
+
 Fact = (
     Configuration
     | Upstream
@@ -31,6 +43,7 @@
     | Stage
     | PeerAddress
     | BlockedRequest
+    | Evacuation
     | None
 )
 """None: the key says nothing that this instance uses."""
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -7,7 +7,7 @@
 from .._errors import ConfigurationInvalid
 from .._poison.blocked import BlockList
 from .configuration import Configuration
-from .facts import BlockedRequest, PeerAddress
+from .facts import BlockedRequest, Evacuation, PeerAddress
 from .rollout import RolloutOrder, RolloutState
 from .service_rollout import ServiceRollout
 from .upstream import Upstream
@@ -56,6 +56,7 @@
         self.peers = {}
         self.blocked = BlockList()
         self._present_peers = set()
+        self._evacuated = set()
         self.rejected = 0
 
     def apply(self, differences, now, returned_at=None):
@@ -72,7 +73,24 @@
 
     def list_upstreams(self, service):
         """Return the upstreams of *service* that may get new work."""
-        return [u for u in self._upstreams.get(service, {}).values() if not u.draining]
+        return [
+            u
+            for u in self._upstreams.get(service, {}).values()
+            if not u.draining and not self.is_zone_evacuated(u.zone)
+        ]
+
+    def list_evacuated_zones(self):
+        """Return the names of the zones whose upstreams are to get no new work."""
+        return sorted(self._evacuated)
+
+    def is_zone_evacuated(self, zone):
+        """Return whether the upstreams of *zone* are to get nothing."""
+        return zone in self._evacuated
+
+    def is_service_evacuated(self, service):
+        """Return whether *service* has upstreams, all of them in evacuated zones."""
+        group = self._upstreams.get(service, {}).values()
+        return bool(group) and all(self.is_zone_evacuated(u.zone) for u in group)
 
     def find_upstream(self, upstream_id):
         """Return the upstream with this id, draining or not, or None."""
@@ -144,6 +162,8 @@
         elif isinstance(fact, BlockedRequest):
             self.blocked.add(fact.fingerprint, now)
             self.blocked.note_kept(fact.fingerprint)
+        elif isinstance(fact, Evacuation):
+            self._evacuate(fact)
         else:
             self._note_rollout(fact, now)
         self._facts[item.key] = fact
@@ -166,6 +186,8 @@
             self._present_peers.discard(fact.name)
         elif isinstance(fact, BlockedRequest):
             self.blocked.remove(fact.fingerprint)
+        elif isinstance(fact, Evacuation):
+            self._take_back(fact)
         # The last configuration and the addresses of peers stay in use: both
         # are only ever replaced, and a wrong address costs one failed call.
 
@@ -234,6 +256,29 @@
         fields = {"version": configuration.version, "index": index}
         logger.info("configuration in force", extra=fields)
 
+    def _evacuate(self, evacuation):
+        if not evacuation.is_readable:
+            self.rejected += 1
+            logger.error("evacuation not readable", extra={"zone": evacuation.zone})
+        if evacuation.zone in self._evacuated:
+            return
+        self._evacuated.add(evacuation.zone)
+        count = self._count_upstreams(evacuation.zone)
+        # A zone without upstreams may be misspelt.
+        level = logging.INFO if count else logging.WARNING
+        fields = {"zone": evacuation.zone, "upstreams": count}
+        logger.log(level, "zone evacuated", extra=fields)
+
+    def _take_back(self, evacuation):
+        self._evacuated.discard(evacuation.zone)
+        fields = {"zone": evacuation.zone}
+        fields["upstreams"] = self._count_upstreams(evacuation.zone)
+        logger.info("zone taken back", extra=fields)
+
+    def _count_upstreams(self, zone):
+        groups = self._upstreams.values()
+        return sum(u.zone == zone for group in groups for u in group.values())
+
     def _note_rollout(self, fact, now):
         rollout = self.get_rollout(fact.service)
         rollout.take(fact, now)
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -44,6 +44,8 @@
         Raises :class:`RequestRefused` where there is none left.
         """
         listed = self._view.list_upstreams(call.service)
+        if not listed and self._view.is_service_evacuated(call.service):
+            raise RequestRefused(ErrorKind.EVACUATED)
         if listed and not self._placer.list_reachable(listed):
             # Trying them all once more would take a quarter second each.
             raise RequestRefused(
--- a/src/merlinnotch/_gateway/prober.py
+++ b/src/merlinnotch/_gateway/prober.py
@@ -45,7 +45,7 @@
         pause_s = PAUSE_S
         try:
             while self._view.find_start(upstream.start) is not None:
-                if self._connect(upstream):
+                if self._may_connect(upstream) and self._connect(upstream):
                     self._loads.get(upstream).reachable = True
                     logger.info("upstream reached", extra={"upstream": upstream.id})
                     return
@@ -55,6 +55,9 @@
             self._suspects.discard(upstream.start)
             self._ended.discard(upstream.start)
 
+    def _may_connect(self, upstream):
+        return not self._view.is_zone_evacuated(upstream.zone)
+
     def _connect(self, upstream):
         try:
             connection = self._pool.take(
--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -13,6 +13,7 @@
 RETRY_AFTER_S = {
     ErrorKind.NO_CONFIGURATION: 0.8,
     ErrorKind.NO_UPSTREAM: 0.5,
+    ErrorKind.EVACUATED: 5.0,
     ErrorKind.OVERLOADED: 0.6,
 }
 """Base of the time to come back: a configuration or an upstream is there within
--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -15,6 +15,7 @@
     CallerLimits,
     Configuration,
     Engine,
+    Evacuation,
     Repeat,
     RolloutOrder,
     RolloutState,
@@ -139,6 +140,8 @@
     if key.startswith(keys.ROLLOUT_PREFIX):
         order = _decode(value, _OrderDocument, key)
         return RolloutOrder(order.service, order.target, order.period_s, index)
+    if key.startswith(keys.EVACUATION_PREFIX):
+        return _build_evacuation(key, value)
     if key.startswith(keys.STATUS_PREFIX):
         status = _decode(value, _StatusDocument, key)
         service = key[len(keys.STATUS_PREFIX) :]
@@ -160,6 +163,22 @@
         raise ConfigurationInvalid([f"{key}: {error}"]) from error
 
 
+def _build_evacuation(key, value):
+    """Return the :class:`Evacuation` of a key, whatever its value says.
+
+    The zone stands in the key. Sending there because of a spoiled value would go
+    against the operators' word.
+    """
+    zone = key[len(keys.EVACUATION_PREFIX) :]
+    if not zone:
+        raise ConfigurationInvalid([f"{key}: no zone"])
+    try:
+        msgspec.json.decode(value, type=dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return Evacuation(zone, is_readable=False)
+    return Evacuation(zone)
+
+
 def _build_configuration(document):
     teams = {}
     for row in document.tenants or ():
--- a/src/merlinnotch/platform/keys.py
+++ b/src/merlinnotch/platform/keys.py
@@ -5,6 +5,7 @@
 
 CONFIGURATION = "op/config"
 ROLLOUT_PREFIX = "op/rollout/"
+EVACUATION_PREFIX = "op/evacuate/"
 UPSTREAM_PREFIX = "servers/"
 STATUS_PREFIX = "status/rollout/"
 
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -29,11 +29,21 @@
 }
 
 
+def render_sections(text, values):
+    """Keep the sections whose name has a value, drop the others."""
+    return re.sub(
+        r"\{\{#(.+?)\}\}\n(.*?)\{\{/\1\}\}\n",
+        lambda m: m.group(2) if m.group(1) in values else "",
+        text,
+        flags=re.DOTALL,
+    )
+
+
 @pytest.fixture
 def write(tmp_path):
     def write(**changes):
         values = VALUES | changes
-        text = TEMPLATE.read_text()
+        text = render_sections(TEMPLATE.read_text(), values)
         text = re.sub(r"\{\{(.+?)\}\}", lambda m: values[m.group(1)], text)
         path = tmp_path / "settings"
         path.write_text(text)
@@ -51,6 +61,11 @@
     assert settings.store.in_force_s == 1.5
 
 
+def test_an_evacuation_is_in_force_as_soon_as_the_platform_asks(write):
+    settings = load_entry_settings(write(**{"bounds.evacuate-ms": "1200"}))
+    assert settings.store.in_force_s == 1.2
+
+
 @pytest.mark.parametrize(
     ("changes", "field"),
     [
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,5 +1,7 @@
 """What callers get, by kind of request and by what upstreams do."""
 
+import json
+
 import eventlet
 import pytest
 
@@ -293,3 +295,34 @@
     wait_until(lambda: len(view.list_upstreams("app")) == 2)
     for _ in range(3):
         assert caller.send(PLAIN).body == b"done"
+
+
+def test_callers_are_refused_at_once_while_every_zone_is_evacuated(world, caller):
+    upstream = world.add_upstream("i-1")
+    wait_until(lambda: caller.send(PLAIN).status == 200)
+    served = len(upstream.requests)
+    world.store.put("op/evacuate/zone-a", {})
+    wait_until(lambda: world.instances[0].view.list_evacuated_zones() == ["zone-a"])
+    got = caller.send(ONCE, "POST", b"x")
+    assert got.status == 503
+    assert json.loads(got.body) == {"error": "evacuated", "outcome": "not_run"}
+    assert float(got.fields["retry-after"]) > 0
+    assert len(upstream.requests) == served
+    world.store.delete("op/evacuate/zone-a")
+    wait_until(lambda: not world.instances[0].view.list_evacuated_zones())
+    assert caller.send(PLAIN).status == 200
+
+
+def test_what_follows_a_failed_send_keeps_out_of_an_evacuated_zone(world, caller):
+    def fail_and_evacuate(request, write):
+        world.store.put("op/evacuate/zone-a", {})
+        view = world.instances[0].view
+        wait_until(lambda: view.is_zone_evacuated("zone-a"))
+        return reset(request, write)
+
+    first = world.add_upstream("i-1", fail_and_evacuate)
+    second = world.add_upstream("i-2", fail_and_evacuate)
+    away = world.add_upstream("i-3", zone="zone-b")
+    assert caller.send(PLAIN).status == 200
+    assert len(away.requests) == 1
+    assert len(first.requests) + len(second.requests) <= 1
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specs import configuration, ledger, mirror, orders, rollout
+from specs import configuration, evacuation, ledger, mirror, orders, rollout
 
 MAX_STATES = 400_000
 
@@ -88,3 +88,15 @@
 )
 def test_without_the_clock_engines_that_ignore_it_go_back(broken):
     assert not check(orders.build(honours=False, **broken), ORDERS)
+
+
+EVACUATION = "sends_as_operators_said"
+
+
+def test_instances_send_as_operators_said():
+    assert check(evacuation.build(), EVACUATION)
+
+
+@pytest.mark.parametrize("build", [evacuation.build_deaf, evacuation.build_sticky])
+def test_broken_views_send_against_the_operators_word(build):
+    assert not check(build(), EVACUATION)
