Cold upstreams get few requests, from all instances together

Cause: engines' coldness was ignored and nobody counts over the fleet. Ways built: (1) a part of the bound for each instance: a bucket holds one request, so 60 instances send 60 (test, broken); (2) a cold one like any other (test, broken); (3) a few senders for each cold upstream by rendezvous hashing among its zone's instances, each with a bucket that begins empty: within the bound at 8, 60 and 300 instances, also with two disjoint views of the fleet, as half of the bound is dealt out; dealing out all of it fails with two views (test, broken). Cold is told by the entry and, before the entries can say so, by a zone's being taken back. A zone whose leases ran out keeps its senders for 30 s. Cost: a sender's first request comes 0.47 s after the upstream is known to be cold; of 300 instances two in three have no cold upstream to send to if all are cold.

--- a/specs/evacuation.py
+++ b/specs/evacuation.py
@@ -34,15 +34,15 @@
 class DeafView(FleetView):
     """Broken: an evacuation is over as soon as an upstream of the zone starts anew."""
 
-    def _take_upstream(self, key, upstream):
+    def _take_upstream(self, key, upstream, now):
         self._evacuated.discard(upstream.zone)
-        return super()._take_upstream(key, upstream)
+        return super()._take_upstream(key, upstream, now)
 
 
 class StickyView(FleetView):
     """Broken: a zone is never taken back."""
 
-    def _take_back(self, evacuation):
+    def _take_back(self, evacuation, now):
         pass
 
 
--- a/src/merlinnotch/_entry/parts.py
+++ b/src/merlinnotch/_entry/parts.py
@@ -14,6 +14,8 @@
     LengthBook,
     PaceBook,
     Placer,
+    SenderWarmUp,
+    WarmUpBound,
 )
 from .._rollout import VersionChooser
 from .clock import read_clock
@@ -32,7 +34,14 @@
     The other arguments are the state that its tasks share.
     """
     paces = PaceBook(lambda model: find_cost(view, model))
-    placer = Placer(settings.instance.zone, loads, paces)
+    placer = Placer(settings.instance.zone, loads, paces, cold=view.cold)
+    warm_up = SenderWarmUp(
+        settings.instance.name,
+        settings.instance.zone,
+        view,
+        WarmUpBound(settings.warm_up.overshoot, settings.warm_up.slack),
+    )
+    versions = VersionChooser(generator)
     return GatewayParts(
         view=view,
         pool=pool,
@@ -42,7 +51,7 @@
         lengths=LengthBook(),
         placer=placer,
         cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
-        chooser=UpstreamChooser(view, VersionChooser(generator), placer, generator),
+        chooser=UpstreamChooser(view, versions, placer, warm_up, generator),
         attempts=AttemptMaker(pool, loads, paces, read_clock, news),
         prober=Prober(pool, loads, view, crashes.note_refusing),
         budgets=_build_budgets(settings.retries, view),
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -65,6 +65,14 @@
     slack: Count = 0.0
 
 
+class WarmUpSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """In any second a cold upstream gets at most *overshoot* times the rate that its
+    service names, and *slack* requests more, from all instances together."""
+
+    overshoot: Annotated[float, msgspec.Meta(ge=0, le=100)] = 1.0
+    slack: Count = 0.0
+
+
 class ShutdownSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """*grace_s* after it is asked to stop, the process is killed."""
 
@@ -92,6 +100,7 @@
     rollouts: RolloutSettings
     shutdown: ShutdownSettings
     cascade: CascadeTable = CascadeTable()
+    warm_up: WarmUpSettings = WarmUpSettings()
     logs: LogSettings = LogSettings()
 
 
--- a/src/merlinnotch/_errors/answers.py
+++ b/src/merlinnotch/_errors/answers.py
@@ -53,6 +53,9 @@
     K.EVACUATED: ErrorAnswer(
         503, SERVER, "All zones with upstreams for this request are evacuated.", 5
     ),
+    K.WARMING_UP: ErrorAnswer(
+        503, SERVER, "Upstreams have just started and take few requests yet.", 1
+    ),
     K.REQUEST_BLOCKED: ErrorAnswer(
         503, SERVER, "Upstreams crashed on this request; it is not sent on for now.", 60
     ),
--- a/src/merlinnotch/_errors/kinds.py
+++ b/src/merlinnotch/_errors/kinds.py
@@ -21,6 +21,7 @@
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no_upstream"
     EVACUATED = "evacuated"
+    WARMING_UP = "warming_up"
     REQUEST_BLOCKED = "request_blocked"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
--- a/src/merlinnotch/_fleet/configuration.py
+++ b/src/merlinnotch/_fleet/configuration.py
@@ -71,10 +71,16 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A group of upstreams that answer the same requests."""
+    """A group of upstreams that answer the same requests.
+
+    After its start one is cold for *cold_s* seconds, in which it tolerates
+    *cold_per_s* requests a second; 0 where that is not bounded.
+    """
 
     name: str
     engine: Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -6,6 +6,7 @@
 
 from .._errors import ConfigurationInvalid
 from .._poison.blocked import BlockList
+from .cold import ColdBook
 from .configuration import Configuration
 from .facts import BlockedRequest, Evacuation, PeerAddress
 from .rollout import RolloutOrder, RolloutState
@@ -21,6 +22,8 @@
 """Kept of the time within which leaving upstreams may get new work: a deletion may
 also be a departure, and a request that is placed at the last moment takes a few
 milliseconds to arrive, over a lossy link 200 ms more."""
+ABSENT_KEEP_S = 30.0
+"""As long as a lease, within which an instance that lives announces itself again."""
 MOST_ENDED = 4096
 """Ended starts that are remembered, some 100 bytes each; of 2,200 upstreams that is
 what six days of 670 restarts bring."""
@@ -56,7 +59,9 @@
         self.peers = {}
         self.blocked = BlockList()
         self._present_peers = set()
+        self._absent_peers = {}
         self._evacuated = set()
+        self.cold = ColdBook()
         self.rejected = 0
 
     def apply(self, differences, now, returned_at=None):
@@ -120,6 +125,26 @@
         """Return the peers whose leases stand, as far as is known."""
         return [self.peers[name] for name in self._present_peers]
 
+    def list_known_peers(self, zone, now):
+        """Return the peers of *zone* that are present, or were a short time ago.
+
+        Those whose leases ran out in an outage of the store announce themselves
+        again after it; until then they do what they did.
+        """
+        for name, since in list(self._absent_peers.items()):
+            if now - since >= ABSENT_KEEP_S:
+                del self._absent_peers[name]
+        names = self._present_peers | self._absent_peers.keys()
+        return [self.peers[name] for name in names if self.peers[name].zone == zone]
+
+    def get_cold_rate(self, service):
+        """Return how many requests a second a cold upstream of *service* tolerates.
+
+        0 where that is not bounded.
+        """
+        declared = self._find_service(service)
+        return declared.cold_per_s if declared else 0.0
+
     def drop_lapsed(self, now):
         """Give up on lapsed entries whose time to return has passed.
 
@@ -152,13 +177,14 @@
         if fact is None:
             return
         if isinstance(fact, Upstream):
-            if not self._take_upstream(item.key, fact):
+            if not self._take_upstream(item.key, fact, now):
                 return
         elif isinstance(fact, Configuration):
             self._set_configuration(fact, item.modify_index)
         elif isinstance(fact, PeerAddress):
             self.peers[fact.name] = fact
             self._present_peers.add(fact.name)
+            self._absent_peers.pop(fact.name, None)
         elif isinstance(fact, BlockedRequest):
             self.blocked.add(fact.fingerprint, now)
             self.blocked.note_kept(fact.fingerprint)
@@ -184,10 +210,11 @@
             self.get_rollout(fact.service).order = None
         elif isinstance(fact, PeerAddress):
             self._present_peers.discard(fact.name)
+            self._absent_peers[fact.name] = now
         elif isinstance(fact, BlockedRequest):
             self.blocked.remove(fact.fingerprint)
         elif isinstance(fact, Evacuation):
-            self._take_back(fact)
+            self._take_back(fact, now)
         # The last configuration and the addresses of peers stay in use: both
         # are only ever replaced, and a wrong address costs one failed call.
 
@@ -198,7 +225,7 @@
         fields = {"upstream": upstream.id, "kept_s": round(until - now, 2)}
         logger.info("upstream lapsed", extra=fields)
 
-    def _take_upstream(self, key, upstream):
+    def _take_upstream(self, key, upstream, now):
         """Take an upstream's entry; return whether it says something new."""
         if upstream.start in self._ended:
             fields = {"upstream": upstream.id, "born_ms": upstream.born_ms}
@@ -209,6 +236,7 @@
         if isinstance(before, Upstream):
             self._replace_upstream(before, upstream)
         self._add_upstream(upstream)
+        self.cold.note(upstream.start, upstream.cold_s, now)
         return True
 
     def _replace_upstream(self, before, upstream):
@@ -216,6 +244,7 @@
             self._note_ended(before.start)
             fields = {"upstream": before.id, "born_ms": before.born_ms}
             logger.info("upstream restarted", extra=fields)
+            self.cold.drop(before.start)
             self._on_upstream_restarted(before)
         if before.service != upstream.service:
             self._upstreams.get(before.service, {}).pop(before.id, None)
@@ -243,6 +272,7 @@
         if group.pop(upstream.id, None) is not None:
             fields = {"upstream": upstream.id, "reason": reason}
             logger.info("upstream gone", extra=fields)
+            self.cold.drop(upstream.start)
             self._on_upstream_gone(upstream)
 
     def _set_configuration(self, configuration, index):
@@ -269,12 +299,26 @@
         fields = {"zone": evacuation.zone, "upstreams": count}
         logger.log(level, "zone evacuated", extra=fields)
 
-    def _take_back(self, evacuation):
+    def _take_back(self, evacuation, now):
+        """Use a zone again, carefully.
+
+        Its upstreams may be cold, and their entries that say so come later than this.
+        """
         self._evacuated.discard(evacuation.zone)
+        for group in self._upstreams.values():
+            for upstream in group.values():
+                if upstream.zone == evacuation.zone:
+                    declared = self._find_service(upstream.service)
+                    cold_s = declared.cold_s if declared else 0.0
+                    self.cold.note(upstream.start, cold_s, now)
         fields = {"zone": evacuation.zone}
         fields["upstreams"] = self._count_upstreams(evacuation.zone)
         logger.info("zone taken back", extra=fields)
 
+    def _find_service(self, name):
+        configuration = self.configuration
+        return configuration.services.get(name) if configuration else None
+
     def _count_upstreams(self, zone):
         groups = self._upstreams.values()
         return sum(u.zone == zone for group in groups for u in group.values())
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -24,10 +24,11 @@
 class UpstreamChooser:
     """Puts the decisions of splits, roll-outs and placement together."""
 
-    def __init__(self, view, versions, placer, generator=random):
+    def __init__(self, view, versions, placer, warm_up, generator=random):
         self._view = view
         self._versions = versions
         self._placer = placer
+        self._warm_up = warm_up
         self._generator = generator
 
     def choose_service(self, call):
@@ -38,6 +39,10 @@
         weights = [split.weight for split in splits]
         return self._generator.choices(splits, weights)[0].service
 
+    def list_allowed(self, upstreams, now):
+        """Return those of *upstreams* that are warm, or cold and due a request."""
+        return [u for u in upstreams if self._warm_up.allows(u, now)]
+
     def choose_upstream(self, call, now):
         """Return the :class:`Choice` for the next send.
 
@@ -54,13 +59,17 @@
                 retry_after_s=CUT_RETRY_S,
             )
         untried = [u for u in listed if u.start not in call.tried]
+        allowed = self.list_allowed(untried, now)
         rollout = self._view.get_rollout(call.service)
         accepts = self._versions.choose(call.service, rollout, call.headers.session)
         work = Work(call.headers.prompt, call.model)
         for accept in accepts:
-            candidates = [u for u in untried if accept(u.version)]
+            candidates = [u for u in allowed if accept(u.version)]
             if candidates:
                 upstream = self._placer.pick(candidates, work, now)
+                self._warm_up.take(upstream, now)
                 return Choice(upstream, len(untried) - 1)
+        if any(accept(u.version) for accept in accepts for u in untried):
+            raise RequestRefused(ErrorKind.WARMING_UP, f"{len(untried)} cold")
         detail = f"{len(listed)} listed, {len(call.tried)} tried"
         raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
--- a/src/merlinnotch/_gateway/larger.py
+++ b/src/merlinnotch/_gateway/larger.py
@@ -53,7 +53,8 @@
         parts = self._parts
         work = Work(call.headers.prompt, call.route.models[-1])
         untried = [u for u in upstreams if u.start not in call.tried]
-        upstream = parts.placer.pick(untried, work, now)
+        allowed = parts.chooser.list_allowed(untried, now)
+        upstream = parts.placer.pick(allowed, work, now)
         if upstream is None:
             return PoolLoad(call.slowdown, 0.0)
         estimate = parts.placer.estimate(upstream, work, now)
--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -14,6 +14,7 @@
     ErrorKind.NO_CONFIGURATION: 0.8,
     ErrorKind.NO_UPSTREAM: 0.5,
     ErrorKind.EVACUATED: 5.0,
+    ErrorKind.WARMING_UP: 0.5,
     ErrorKind.OVERLOADED: 0.6,
 }
 """Base of the time to come back: a configuration or an upstream is there within
--- a/src/merlinnotch/_placement/__init__.py
+++ b/src/merlinnotch/_placement/__init__.py
@@ -9,6 +9,7 @@
 from .pace import PaceBook
 from .placer import Placer, Work
 from .urgency import choose_urgency
+from .warmup import SenderWarmUp, WarmUp, WarmUpBound
 
 __all__ = [
     "CascadePolicy",
@@ -20,7 +21,10 @@
     "Placer",
     "PoolLoad",
     "PrefixCache",
+    "SenderWarmUp",
     "UpstreamLoad",
+    "WarmUp",
+    "WarmUpBound",
     "Work",
     "choose_urgency",
 ]
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass
 
+from .._fleet.cold import ColdBook
 from .._rendezvous import rank_first
 from .slots import measure_slot_ms
 
@@ -68,14 +69,15 @@
 
     Of many engines only a few are weighed, drawn anew for each request: what is known
     of them is as old as the last news, and all that choose the best one by the same
-    news choose it together (benchmarks.full_batches).
+    news choose it together (benchmarks.full_batches). *cold* is a :class:`ColdBook`.
     """
 
-    def __init__(self, zone, loads, paces, generator=random):
+    def __init__(self, zone, loads, paces, generator=random, cold=None):
         self._zone = zone
         self._loads = loads
         self._paces = paces
         self._generator = generator
+        self._cold = cold or ColdBook()
 
     def pick(self, candidates, work, now):
         """Return the best of *candidates*, or None where there is none."""
@@ -137,7 +139,7 @@
         busy = load.estimate_busy(now) / max(1, upstream.slots)
         cost = load.latency_s * 1000.0 * (1.0 + 2.0 * busy)
         cost += FAILURE_MS * load.measure_failing(now)
-        if upstream.cold_s > 0:
+        if self._cold.measure_left(upstream.start, now) > 0.0:
             cost += COLD_MS
         return cost + self._zone_cost(upstream)
 
--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -30,6 +30,8 @@
 
 MS = 1000.0
 MOST_PORT = 65535
+MOST_COLD_S = 3600.0
+"""No upstream takes an hour to warm up; what says more is another writer's."""
 
 
 Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -80,6 +82,8 @@
 class _ServiceDocument(_Document):
     name: str
     engine: _EngineDocument | None = None
+    cold_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_COLD_S)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _LimitsDocument(_Document):
@@ -113,7 +117,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal["ready", "draining"]
     # How much longer it stays slow, as of the time of writing.
-    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MS * MOST_COLD_S)]
     # The number of orders that it has accepted.
     seq: Annotated[int, msgspec.Meta(ge=0)]
     # The Unix millisecond of its start; not every platform says it.
@@ -242,7 +246,7 @@
             row.engine.kv_tokens,
             {model.name: model.cost for model in row.engine.models},
         )
-    return Service(row.name, engine)
+    return Service(row.name, engine, row.cold_s, row.cold_per_s)
 
 
 def _build_upstream(key, row):
--- /dev/null
+++ b/tests/fleet/test_cold.py
@@ -0,0 +1,79 @@
+"""Upstreams that are cold, by their entries and by zones that are taken back."""
+
+import pytest
+
+from merlinnotch._fleet import PeerAddress, UpstreamStart
+from merlinnotch._fleet.mirror import Difference
+from merlinnotch._fleet.view import FleetView
+from merlinnotch._store import Item
+from tests.fleet.test_view import Writer, configuration, upstream
+
+START = UpstreamStart("i-1")
+
+
+@pytest.fixture
+def writer():
+    writer = Writer()
+    service = {"name": "s", "cold-s": 3.0, "cold-per-s": 9.5}
+    writer.put("op/config", configuration(1) | {"services": [service]})
+    return writer
+
+
+def cold_entry(cold_ms, **changes):
+    return upstream(**changes) | {"cold-left-ms": cold_ms}
+
+
+def test_an_entry_tells_how_long_its_upstream_is_cold(writer):
+    writer.put("servers/i-1", cold_entry(2000), now=10.0)
+    assert writer.view.cold.measure_left(START, 11.5) == 0.5
+    assert writer.view.cold.measure_left(START, 12.0) == 0.0
+    assert writer.view.get_cold_rate("s") == 9.5
+
+
+def test_an_upstream_may_turn_cold_at_any_moment(writer):
+    writer.put("servers/i-1", cold_entry(0))
+    assert writer.view.cold.measure_left(START, 0.0) == 0.0
+    writer.put("servers/i-1", cold_entry(3000), now=50.0)
+    assert writer.view.cold.measure_left(START, 50.0) == 3.0
+    writer.put("servers/i-1", cold_entry(1000), now=51.0)
+    assert writer.view.cold.measure_left(START, 51.0) == 2.0
+    assert writer.view.cold.measure_age(START, 51.0) == 1.0
+
+
+def test_a_zone_that_is_taken_back_is_cold_before_its_entries_say_so(writer):
+    writer.put("servers/i-1", upstream())
+    writer.put("op/evacuate/z", {})
+    writer.delete("op/evacuate/z", 20.0)
+    assert writer.view.cold.measure_left(START, 21.0) == 2.0
+
+
+def test_a_new_start_is_not_as_cold_as_the_one_before(writer):
+    writer.put("servers/i-1", cold_entry(3000, born=1))
+    writer.put("servers/i-1", cold_entry(0, born=2), now=1.0)
+    assert writer.view.cold.measure_left(UpstreamStart("i-1", 1), 1.0) == 0.0
+    assert writer.view.cold.measure_left(UpstreamStart("i-1", 2), 1.0) == 0.0
+
+
+@pytest.mark.parametrize("cold_ms", [-1, 1e12, "3"])
+def test_an_absurd_time_names_no_upstream_and_counts(writer, cold_ms):
+    writer.put("servers/i-1", cold_entry(cold_ms))
+    writer.put("servers/i-2", upstream())
+    assert [u.id for u in writer.view.list_upstreams("s")] == ["i-2"]
+    assert writer.view.rejected == 1
+
+
+def test_instances_whose_leases_ran_out_are_known_for_a_while(writer):
+    writer.view = make_view_with_peers()
+    names = [p.name for p in writer.view.list_known_peers("z", 0.0)]
+    assert sorted(names) == ["one", "two"]
+    writer.delete("ours/one", 1.0)
+    assert len(writer.view.list_known_peers("z", 30.0)) == 2
+    assert [p.name for p in writer.view.list_known_peers("z", 31.0)] == ["two"]
+
+
+def make_view_with_peers():
+    view = FleetView(lambda key, value, index: PeerAddress(value.decode(), "z", ""))
+    for name in ("one", "two"):
+        item = Item(f"ours/{name}", name.encode(), 1)
+        view.apply([Difference(item.key, item)], 0.0)
+    return view
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -305,7 +305,7 @@
     wait_until(lambda: world.instances[0].view.list_evacuated_zones() == ["zone-a"])
     got = caller.send(ONCE, "POST", b"x")
     assert got.status == 503
-    assert json.loads(got.body) == {"error": "evacuated", "outcome": "not_run"}
+    assert json.loads(got.body) == {"error": "evacuated", "outcome": "not-run"}
     assert float(got.fields["retry-after"]) > 0
     assert len(upstream.requests) == served
     world.store.delete("op/evacuate/zone-a")
