Silent streams: whether the path to their upstream is gone is found out early

Cause: a path that is cut only falls silent. A stream on it was given up after 2.5 times its pause goal, and a first event after 2.5 s or six times the expected wait: late for its caller in each case. Ruled out: giving up sooner for silence alone: engines that read long prompts are as silent, and a second send adds to their load. Change: after 0.4 of the pause goal (of the time for the first event) without a byte the upstream is connected to anew, twice 0.2 s; a stream that may be resumed goes on elsewhere if that fails, and is waited for as before if not.

--- a/src/merlinnotch/_entry/parts.py
+++ b/src/merlinnotch/_entry/parts.py
@@ -4,6 +4,7 @@
     AttemptMaker,
     BudgetTable,
     GatewayParts,
+    PathChecker,
     Prober,
     UpstreamChooser,
 )
@@ -42,6 +43,7 @@
         WarmUpBound(settings.warm_up.overshoot, settings.warm_up.slack),
     )
     versions = VersionChooser(generator)
+    paths = PathChecker(pool, view, read_clock)
     return GatewayParts(
         view=view,
         pool=pool,
@@ -52,7 +54,8 @@
         placer=placer,
         cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
         chooser=UpstreamChooser(view, versions, placer, warm_up, generator),
-        attempts=AttemptMaker(pool, loads, paces, read_clock, news),
+        attempts=AttemptMaker(pool, loads, paces, read_clock, news, paths),
+        paths=paths,
         prober=Prober(pool, loads, view, crashes.note_refusing),
         budgets=_build_budgets(settings.retries, view),
         news=news,
--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -6,6 +6,7 @@
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
+from .paths import PathChecker
 from .prober import Prober
 
 __all__ = [
@@ -14,6 +15,7 @@
     "Forwarder",
     "Gateway",
     "GatewayParts",
+    "PathChecker",
     "Prober",
     "UpstreamChooser",
 ]
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -6,6 +6,7 @@
 from .._fleet import Upstream
 from .._placement import choose_urgency
 from ..platform import encode_call, is_not_run, read_answer
+from .paths import choose_check_s
 
 CONNECT_S = 0.25
 """A path that works connects in a few milliseconds; nothing is lost by trying
@@ -43,15 +44,16 @@
     """Sends a call to an upstream and reads the head of the answer.
 
     *news* tells the other instances of prompts that are sent and of what engines
-    say of their load.
+    say of their load. *paths* is a :class:`PathChecker`.
     """
 
-    def __init__(self, pool, loads, paces, read_clock, news):
+    def __init__(self, pool, loads, paces, read_clock, news, paths):
         self._pool = pool
         self._loads = loads
         self._paces = paces
         self._read_clock = read_clock
         self._news = news
+        self._paths = paths
 
     def make(self, call, upstream, work, estimate, until):
         """Return an :class:`Attempt`; *estimate* is what was expected of it.
@@ -97,7 +99,10 @@
         connection.send_request(
             request.method, request.target, pairs, request.body, until
         )
-        return connection.read_head(until)
+        if not call.may_run_again or until >= call.deadline:
+            return connection.read_head(until)
+        check_s = choose_check_s(call.route.goal_s)
+        return self._paths.read(upstream, connection.read_head, check_s, until)
 
     def _judge_head(self, call, upstream, connection, head, started_at):
         now = self._read_clock()
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -199,6 +199,7 @@
             self._parts.pass_on,
             self._read_clock,
             self._results.note_gap,
+            self._parts.paths,
         )
         relay.run(attempt)
         self._parts.crashes.note_answered(call.run)
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -16,6 +16,7 @@
 from .attempt import AttemptMaker
 from .budgets import BudgetTable
 from .choice import UpstreamChooser
+from .paths import PathChecker
 from .prober import Prober
 
 
@@ -38,6 +39,7 @@
     chooser: UpstreamChooser
     attempts: AttemptMaker
     prober: Prober
+    paths: PathChecker
     budgets: BudgetTable
     news: object
     crashes: object
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -2,6 +2,7 @@
 
 from .._errors import ConnectionBroken
 from .events import EventSplitter
+from .paths import choose_check_s
 
 MIN_STALL_S = 2.0
 STALL_FACTOR = 2.5
@@ -16,14 +17,17 @@
     was delivered; the caller sees the head of the first one. Nothing is written
     before the first event, so that until then another answer can take its place.
     *note_gap* is called with the call, the attempt and the seconds between events.
+    *paths* is a :class:`PathChecker`.
     """
 
-    def __init__(self, call, connection, pass_on, read_clock, note_gap):
+    def __init__(self, call, connection, pass_on, read_clock, note_gap, paths):
         self._call = call
         self._connection = connection
         self._pass_on = pass_on
         self._read_clock = read_clock
         self._note_gap = note_gap
+        self._paths = paths
+        self._check_s = choose_check_s(call.route.pause_goal_s)
         self._wrote_at = None
         self._stall_s = max(MIN_STALL_S, STALL_FACTOR * call.route.pause_goal_s)
 
@@ -46,7 +50,11 @@
     def _read_part(self, attempt):
         now = self._read_clock()
         until = min(self._call.deadline, now + self._stall_s)
-        return attempt.connection.read_part(until)
+        if not self._call.may_run_again:
+            return attempt.connection.read_part(until)
+        return self._paths.read(
+            attempt.upstream, attempt.connection.read_part, self._check_s, until
+        )
 
     def _write(self, attempt, events):
         if not events:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -326,3 +326,58 @@
     assert caller.send(PLAIN).status == 200
     assert len(away.requests) == 1
     assert len(first.requests) + len(second.requests) <= 1
+
+
+def stall_after(upstream_of, last, closes):
+    """Return a script that falls silent after the event *last*.
+
+    With *closes* its upstream can't be connected to any more from then on.
+    """
+
+    def script(request, write):
+        begin = int(request.fields.get("last-event-id", 0)) + 1
+        events = [(n, b"id: %d\ndata: x\n\n" % n) for n in range(begin, last + 1)]
+        write(make_stream_head(request) + b"".join(map(make_chunk, events)))
+        if closes:
+            upstream_of().close()
+        eventlet.sleep(3600)
+
+    return script
+
+
+def make_stream_head(request):
+    lines = ["HTTP/1.1 200 X", "transfer-encoding: chunked", "x-server-seal: s"]
+    lines.append(f"x-attempt-id: {request.fields.get('x-attempt-id', '')}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def make_chunk(event):
+    return b"%x\r\n%s\r\n" % (len(event[1]), event[1])
+
+
+def send_through_a_stall(world, caller, closes):
+    """Return what a caller gets of a stream that stalls at its first upstream."""
+    script = stall_after(lambda: world.upstreams["i-1"], 2, closes)
+    world.add_upstream("i-1", script, service="engines")
+    done = []
+    eventlet.spawn(lambda: done.append(caller.send(STREAM)))
+    wait_until(lambda: world.upstreams["i-1"].requests)
+    world.add_upstream("i-2", stream(1, 4), service="engines")
+    wait_until(lambda: done)
+    return done[0]
+
+
+def test_a_stream_on_a_path_that_is_gone_goes_on_elsewhere(world, caller, monkeypatch):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 3600.0)
+    got = send_through_a_stall(world, caller, closes=True)
+    assert got.status == 200
+    assert [b"id: %d" % n in got.body for n in (1, 2, 3, 4)] == [True] * 4
+    assert len(world.upstreams["i-2"].requests) == 1
+    assert world.upstreams["i-2"].requests[0].fields.get("last-event-id") == "2"
+
+
+def test_a_silent_stream_of_an_upstream_that_is_there_is_waited_for(world, caller):
+    got = send_through_a_stall(world, caller, closes=False)
+    assert got.status == 200
+    # The one that carries the request, and at least two checks of the path.
+    assert world.upstreams["i-1"].connections >= 3
