A version that fails under load only is found before it gets all traffic

Change: canaries, as few as carry the share at usual load or up to twice that; the last stage is 0.2 s shorter, which leaves 3 to 4 in 100 of the traffic for them; answers of half-full upstreams are judged by themselves, and wanted for proof where the version before was busy.

--- a/specs/rollout.py
+++ b/specs/rollout.py
@@ -7,8 +7,9 @@
 
 State: ``status`` and ``index`` in the store, ``first_end`` (the first final
 state that operators were told), ``shown`` (whether the version's answers have shown
-that it is sound), and for each instance what it saw, whether it convicted the
-version and the write that is under way.
+that it is sound), ``bad`` (whether it fails under load; None before that is chosen),
+and for each instance what it saw, whether it convicted the version and the write that
+is under way. Answers show what the version does under load, as its canaries are loaded.
 """
 
 from minicheck import Protocol
@@ -40,29 +41,47 @@
     return _build("rollout-hasty", conditioned=True, minds_ends=True, wants_proof=False)
 
 
-def _build(name, conditioned, minds_ends, wants_proof):
+def build_idle():
+    """Return a broken variant: canaries are so many that none of them is loaded."""
+    return _build(
+        "rollout-idle",
+        conditioned=True,
+        minds_ends=True,
+        wants_proof=True,
+        loads_canaries=False,
+    )
+
+
+def _build(name, conditioned, minds_ends, wants_proof, loads_canaries=True):
     instance = ((NONE, 0), False, None)
     return Protocol(
         name=name,
         candidate=False,
-        fields=("status", "index", "first_end", "shown", "one", "two"),
-        initial=(NONE, 0, None, False, instance, instance),
+        fields=("status", "index", "first_end", "shown", "bad", "one", "two"),
+        initial=(NONE, 0, None, False, None, instance, instance),
         transitions=lambda state: list(
-            _step(state, conditioned, minds_ends, wants_proof)
+            _step(state, conditioned, minds_ends, wants_proof, loads_canaries)
         ),
         invariants={
             "an_end_is_final": lambda d: d["first_end"] in (None, d["status"]),
             "complete_is_shown_sound": lambda d: d["status"] != COMPLETE or d["shown"],
+            "complete_is_sound_under_load": lambda d: (
+                d["status"] != COMPLETE or d["bad"] is False
+            ),
         },
     )
 
 
-def _step(state, conditioned, minds_ends, wants_proof):
-    status, index, _, shown, *instances = state
-    if not shown:
+def _step(state, conditioned, minds_ends, wants_proof, loads_canaries):
+    status, index, _, shown, bad, *instances = state
+    if bad is None:
+        yield "the version is sound", _put(state, 4, False)
+        yield "the version fails under load", _put(state, 4, True)
+        return
+    if not shown and (not bad or not loads_canaries):
         yield "answers show that it is sound", _put(state, 3, True)
     for number, (seen, convicted, pending) in enumerate(instances):
-        place = 4 + number
+        place = 5 + number
         if seen != (status, index):
             yield (
                 f"{place} looks",
--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -10,7 +10,9 @@
 from .._rollout import (
     Exposure,
     Hearing,
+    count_canaries,
     describe_tallies,
+    find_usual_load,
     judge_version,
     weigh_version,
 )
@@ -28,6 +30,11 @@
 REPEAT_S = 1.0
 """How often counters go to the judges that did not change: who is silent for longer
 is taken to be gone or cut off."""
+LEAST_LOAD = 0.5
+"""Part of an upstream's usual traffic from which a canary counts as loaded."""
+LOAD_WITHIN = 2.0
+"""Periods after which a version is judged by what there is, also where its upstreams
+were never busy."""
 TURN_S = 0.7
 """How much longer each next instance waits before it does what is due; the
 first one has done it by then unless it is gone, paused or cut off."""
@@ -120,12 +127,7 @@
             self._write_state(service, rollout, RolloutState.REVERTED)
 
     def _advance(self, service, rollout, age_s, now):
-        targets = [
-            u
-            for u in self._view.list_upstreams(service)
-            if u.version == rollout.order.target
-        ]
-        if not targets:
+        if not self._list_targets(service, rollout):
             return
         if rollout.status is None or rollout.status.index < rollout.order.index:
             self._write_state(service, rollout, RolloutState.ACTIVE)
@@ -137,8 +139,9 @@
         if not self._hearings[service].is_enough(now):
             return
         exposure = self._estimate_exposure(service, rollout, now)
-        standing = weigh_version(self._counts, rollout.order)
         period_s = rollout.order.period_s
+        loaded = self._carries_load(service, rollout) and age_s < LOAD_WITHIN * period_s
+        standing = weigh_version(self._counts, rollout.order, loaded)
         due = self._schedule.find_due(age_s, period_s, exposure, standing)
         if stage.number < due.number:
             self._write_stage(service, rollout, due, now)
@@ -160,14 +163,37 @@
     def _write_stage(self, service, rollout, due, now):
         known = rollout.stage
         age_s = rollout.measure_age(now)
-        stage = Stage(service, rollout.order.index, due.number, due.share, age_s)
+        canaries = self._count_canaries(service, rollout, due.share)
+        stage = Stage(
+            service,
+            rollout.order.index,
+            due.number,
+            due.share,
+            age_s,
+            canaries=canaries,
+        )
         self._store.swap(
             stage_key(service), encode_stage(stage), known.index if known else 0
         )
         fields = {"service": service, "stage": due.number, "share": due.share}
+        fields["canaries"] = canaries
         fields["seen"] = describe_tallies(self._counts, rollout.order)
         logger.info("stage written", extra=fields | {"age_s": round(age_s, 2)})
 
+    def _count_canaries(self, service, rollout, share):
+        usual_load = find_usual_load(self._counts, rollout.order)
+        return count_canaries(self._list_targets(service, rollout), share, usual_load)
+
+    def _carries_load(self, service, rollout):
+        """Return whether canaries get about as much as other upstreams do."""
+        count = len(self._list_targets(service, rollout))
+        return rollout.current_stage.share * count >= LEAST_LOAD
+
+    def _list_targets(self, service, rollout):
+        """Return the upstreams of the version that is brought in."""
+        listed = self._view.list_upstreams(service)
+        return [u for u in listed if u.version == rollout.order.target]
+
     def _write_state(self, service, rollout, state):
         known = rollout.status
         target = rollout.order.target
--- a/src/merlinnotch/_fleet/records.py
+++ b/src/merlinnotch/_fleet/records.py
@@ -34,7 +34,8 @@
 
 def encode_stage(stage):
     """Return the value of a :class:`Stage`."""
-    return cbor2.dumps([stage.order_index, stage.number, stage.share, stage.age_s])
+    row = [stage.order_index, stage.number, stage.share, stage.age_s, stage.canaries]
+    return cbor2.dumps(row)
 
 
 def decode_record(key, value, index):
@@ -44,9 +45,10 @@
             zone, address = cbor2.loads(value)
             return PeerAddress(key[len(PEER_PREFIX) :], zone, address)
         if key.startswith(STAGE_PREFIX):
-            order_index, number, share, age_s = cbor2.loads(value)
+            # Instances of an earlier release write no count of canaries.
+            order_index, number, share, age_s, *rest = cbor2.loads(value)
             service = key[len(STAGE_PREFIX) :]
-            return Stage(service, order_index, number, share, age_s, index)
+            return Stage(service, order_index, number, share, age_s, index, *rest)
         if key.startswith(BLOCKED_PREFIX):
             return BlockedRequest(bytes.fromhex(key[len(BLOCKED_PREFIX) :]))
     except (ValueError, TypeError) as error:
--- a/src/merlinnotch/_fleet/rollout.py
+++ b/src/merlinnotch/_fleet/rollout.py
@@ -41,7 +41,8 @@
 
     Written for the order with *order_index*; *share* is between 0 and 1.
     *age_s* is how long the order stood when the stage was written, in seconds,
-    by the clock of whoever wrote it.
+    by the clock of whoever wrote it. *canaries* is how many upstreams of the new
+    version take the share.
     """
 
     service: str
@@ -50,6 +51,7 @@
     share: float
     age_s: float = 0.0
     index: int = 0
+    canaries: int = 1
 
     @property
     def takes_all(self):
--- a/src/merlinnotch/_fleet/service_rollout.py
+++ b/src/merlinnotch/_fleet/service_rollout.py
@@ -32,6 +32,11 @@
             return RolloutState.ACTIVE
         return status.state
 
+    @property
+    def is_active(self):
+        """Whether the order in force is neither complete nor taken back."""
+        return self.state is RolloutState.ACTIVE
+
     @property
     def current_stage(self):
         """The stage written for the order in force, or None."""
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -6,6 +6,7 @@
 from .._errors import ErrorKind, RequestRefused
 from .._fleet import Upstream
 from .._placement import Work
+from .._rollout import select_canaries
 
 CUT_RETRY_S = 4.0
 """Time to come back where no upstream can be connected to. Cuts between zones last
@@ -43,6 +44,22 @@
         """Return those of *upstreams* that are warm, or cold and due a request."""
         return [u for u in upstreams if self._warm_up.allows(u, now)]
 
+    def _narrow(self, candidates, listed, call, rollout):
+        """Leave the canaries of *candidates* while their version gets a small share.
+
+        A session stays with its version, whichever of its upstreams are left.
+        """
+        stage = rollout.current_stage
+        if stage is None or stage.takes_all or not rollout.is_active:
+            return candidates
+        target = rollout.order.target
+        if not any(u.version == target for u in candidates):
+            return candidates
+        group = [u for u in listed if u.version == target]
+        canaries = select_canaries(group, call.service, stage.canaries)
+        left = [u for u in self._placer.list_reachable(candidates) if u in canaries]
+        return left if left or call.headers.session is None else candidates
+
     def choose_upstream(self, call, now):
         """Return the :class:`Choice` for the next send.
 
@@ -65,6 +82,7 @@
         work = Work(call.headers.prompt, call.model)
         for accept in accepts:
             candidates = [u for u in allowed if accept(u.version)]
+            candidates = self._narrow(candidates, listed, call, rollout)
             if candidates:
                 upstream = self._placer.pick(candidates, work, now)
                 self._warm_up.take(upstream, now)
--- a/src/merlinnotch/_gateway/results.py
+++ b/src/merlinnotch/_gateway/results.py
@@ -1,7 +1,7 @@
 """What is learned from answers: of upstreams, of versions, of the engines' pace."""
 
 from .._fleet import RolloutState
-from .._rollout import TallyKey, TimeKey, band_load, band_time
+from .._rollout import TallyKey, TimeKey, band_load, band_time, name_route
 
 MIN_PACED_EVENTS = 4
 """A stream is judged by the time between its first events as soon as there are
@@ -42,23 +42,24 @@
         else:
             load.note_success(now)
         if failed:
-            self._tally(call, attempt.upstream, bad=True)
+            self._tally(call, attempt.upstream, True, attempt.note.running)
         elif not attempt.is_judged:
             self._judge(call, attempt)
 
     def _judge(self, call, attempt):
         """Count a good answer, and how long it took, for its version."""
         attempt.is_judged = True
-        self._tally(call, attempt.upstream, bad=False)
+        running = attempt.note.running
+        self._tally(call, attempt.upstream, False, running)
         order = self._get_active_order(call.service)
         kind, seconds = _measure_time(call, attempt, self._read_clock())
         key = TimeKey(
             call.service,
             attempt.upstream.version,
-            call.route.name,
+            name_route(call.route.name, running, attempt.upstream.slots),
             order.index if order else 0,
             kind,
-            band_load(attempt.note.running),
+            band_load(running),
             band_time(seconds),
         )
         if order:
@@ -66,11 +67,11 @@
         else:
             self._parts.counts.keep_time(key)
 
-    def _tally(self, call, upstream, bad):
+    def _tally(self, call, upstream, bad, running=None):
         order = self._get_active_order(call.service)
         if order:
-            version = upstream.version
-            key = TallyKey(call.service, version, call.route.name, order.index)
+            route = name_route(call.route.name, running, upstream.slots)
+            key = TallyKey(call.service, upstream.version, route, order.index)
             self._parts.counts.tallies.note(key, bad)
 
     def _get_active_order(self, service):
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -1,5 +1,7 @@
 """Moving a service to a new version, and back from a bad one."""
 
+from .busy import name_route
+from .canaries import count_canaries, find_usual_load, select_canaries
 from .chooser import VersionChooser
 from .counts import AnswerCounts
 from .hearing import Hearing
@@ -34,10 +36,14 @@
     "band_load",
     "band_time",
     "compare_speeds",
+    "count_canaries",
     "describe_tallies",
+    "find_usual_load",
     "is_slower",
     "is_worse",
     "judge_version",
+    "name_route",
     "place_session",
+    "select_canaries",
     "weigh_version",
 ]
--- a/src/merlinnotch/_rollout/stages.py
+++ b/src/merlinnotch/_rollout/stages.py
@@ -24,16 +24,16 @@
 """Part of the allowance that may be planned for; tallies are half a second old."""
 BURST = 1.15
 """How much more traffic than so far the rest of the period may bring."""
-COMPLETE_BEFORE_S = 1.2
-"""How long before its end a roll-out is declared complete: an order was seen up to
-0.6 s late while the store dropped its history, a slow store takes some 200 ms."""
+COMPLETE_BEFORE_S = 1.0
+"""How long before its end a roll-out is declared complete: an order may be seen 0.6 s
+late while the store drops its history, and a slow store takes some 200 ms."""
 SETTLE_S = 0.55
 """Least time from the last stage to completion, in which every instance has
 seen it and a version that fails under load has failed some answers."""
 LAST_S = (2.6, 2.0, SETTLE_S + COMPLETE_BEFORE_S)
 """Lengths of the last stage, the best first: a longer one shows more of a version
-under load. With 266 requests a second and a tenth of them allowed, only the
-shortest leaves anything for the stages before."""
+under load. Where a tenth of many requests is allowed, only the shortest leaves enough
+for the canaries of the stage before."""
 
 
 @dataclass(frozen=True)
--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -4,6 +4,7 @@
 import math
 from dataclasses import dataclass
 
+from .busy import is_busy
 from .speed import Speed, compare_speeds
 from .tallies import Tally
 
@@ -29,6 +30,9 @@
 """Chance of so few bad answers from a bad version. It takes six answers without a
 fault; of 26 requests a second with a tenth allowed, a period of 16 s leaves eight for
 the stages before the last one."""
+BUSY_SHARE = 0.05
+"""Part of the answers of the version before that come from busy upstreams where load is
+usual."""
 DOUBT_BELOW = 0.02
 """Chance of that many bad answers from a sound version, below which it has to show more
 answers before it gets on. This costs a sound version time only."""
@@ -118,9 +122,12 @@
     return total.describe() if total.convicts else None
 
 
-def weigh_version(counts, order):
+def weigh_version(counts, order, is_loaded=False):
     """Return the :class:`Standing` of the target of *order*.
 
+    With *is_loaded* its upstreams get as much as those of the version before: where
+    those were busy at times, its own answers while busy have to show that it is sound.
+
     Nothing seen proves nothing: a version that fails or delays some of its answers
     has shown few of them while it gets little traffic. So all traffic waits for
     answers that a bad version would hardly have given.
@@ -129,11 +136,26 @@
     if any(comparison.raises_doubt for comparison in routes):
         return Standing.DOUBTFUL
     total = _add_routes(routes)
-    if total.clears:
+    if total.clears and not (is_loaded and _lacks_busy_answers(counts, order)):
         return Standing.SOUND
     return Standing.DOUBTFUL if total.new.bad or total.speed.slow else Standing.UNKNOWN
 
 
+def _lacks_busy_answers(counts, order):
+    """Return whether the new version was seldom busy, and the one before was not."""
+    usual, busy, shown = Tally(), Tally(), Tally()
+    for key in counts.tallies.list_keys(order):
+        tally = counts.tallies.sum(key)
+        if key.version == order.target:
+            shown = shown.add(tally) if is_busy(key.route) else shown
+            continue
+        usual = usual.add(tally)
+        busy = busy.add(tally) if is_busy(key.route) else busy
+    if busy.answers < BUSY_SHARE * usual.answers:
+        return False
+    return not _is_cleared(shown.bad, shown.answers, BAD_SHARE)
+
+
 def describe_tallies(counts, order):
     """Return what was counted of the target of *order* and of the rest."""
     return _add_routes(_compare_routes(counts, order)).describe()
--- a/tests/rollout/test_verdict.py
+++ b/tests/rollout/test_verdict.py
@@ -12,6 +12,7 @@
     is_slower,
     is_worse,
     judge_version,
+    name_route,
     weigh_version,
 )
 
@@ -171,3 +172,44 @@
 
     assert sum(play(0.4, 16) for _ in range(300)) <= 30
     assert sum(play(0.02, 20) for _ in range(300)) >= 270
+
+
+BUSY = name_route("a", 8, 16)
+
+
+def test_only_upstreams_that_are_half_full_count_as_busy():
+    assert BUSY != "a"
+    assert name_route("a", 7, 16) == "a"
+    assert name_route("a", None, 16) == "a"
+
+
+def test_a_version_that_fails_while_busy_is_convicted_among_many_good_answers():
+    counts = AnswerCounts.start("me")
+    for route in ("a", BUSY):
+        fill(counts, "v1", route, 200, 2)
+    fill(counts, "v2", "a", 300, 0)
+    fill(counts, "v2", BUSY, 10, 4)
+    assert BUSY in judge_version(counts, ORDER)
+
+
+@pytest.mark.parametrize(
+    ("old_busy", "new_busy", "is_loaded", "standing"),
+    [
+        (100, 0, True, Standing.UNKNOWN),
+        (100, 6, True, Standing.SOUND),
+        # Where canaries carry less than others, no load can be wanted of them.
+        (100, 0, False, Standing.SOUND),
+        # Nor where upstreams are hardly ever busy.
+        (10, 0, True, Standing.SOUND),
+    ],
+)
+def test_where_upstreams_are_busy_a_version_shows_itself_busy(
+    old_busy, new_busy, is_loaded, standing
+):
+    counts = AnswerCounts.start("me")
+    fill(counts, "v1", "a", 900, 0)
+    fill(counts, "v1", BUSY, old_busy, 0)
+    fill(counts, "v2", "a", 40, 0)
+    if new_busy:
+        fill(counts, "v2", BUSY, new_busy, 0)
+    assert weigh_version(counts, ORDER, is_loaded) is standing
--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -59,6 +59,17 @@
     assert not check(rollout.build_hasty(), PROOF)
 
 
+UNDER_LOAD = "complete_is_sound_under_load"
+
+
+def test_a_version_that_fails_under_load_is_never_complete():
+    assert check(rollout.build(), UNDER_LOAD)
+
+
+def test_idle_canaries_complete_a_version_that_fails_under_load():
+    assert not check(rollout.build_idle(), UNDER_LOAD)
+
+
 COPIES = "copies_are_true"
 
 
