--- a/specs/evacuation.py
+++ b/specs/evacuation.py
@@ -35,7 +35,8 @@
     """Broken: an evacuation is over as soon as an upstream of the zone starts anew."""
 
     def _take_upstream(self, key, upstream, now):
-        self._evacuated.discard(upstream.zone)
+        if upstream.zone in self._evacuated:
+            self._evacuated.remove(Evacuation(upstream.zone), 1)
         return super()._take_upstream(key, upstream, now)
 
 
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -8,7 +8,9 @@
 from .._poison.blocked import BlockList
 from .cold import ColdBook
 from .configuration import Configuration
+from .evacuations import EvacuatedZones
 from .facts import BlockedRequest, Evacuation, PeerAddress
+from .peers import PeerBook
 from .rollout import RolloutOrder, RolloutState
 from .service_rollout import ServiceRollout
 from .upstream import Upstream
@@ -22,8 +24,6 @@
 """Kept of the time within which leaving upstreams may get new work: a deletion may
 also be a departure, and a request that is placed at the last moment takes a few
 milliseconds to arrive, over a lossy link 200 ms more."""
-ABSENT_KEEP_S = 30.0
-"""As long as a lease, within which an instance that lives announces itself again."""
 MOST_ENDED = 4096
 """Ended starts that are remembered, some 100 bytes each; of 2,200 upstreams that is
 what six days of 670 restarts bring."""
@@ -56,11 +56,10 @@
         self._lapsed = {}
         self._rollouts = {}
         self.configuration = None
-        self.peers = {}
+        self.peer_book = PeerBook()
+        self.peers = self.peer_book.known
         self.blocked = BlockList()
-        self._present_peers = set()
-        self._absent_peers = {}
-        self._evacuated = set()
+        self._evacuated = EvacuatedZones()
         self.cold = ColdBook()
         self.rejected = 0
 
@@ -86,7 +85,7 @@
 
     def list_evacuated_zones(self):
         """Return the names of the zones whose upstreams are to get no new work."""
-        return sorted(self._evacuated)
+        return self._evacuated.list_names()
 
     def is_zone_evacuated(self, zone):
         """Return whether the upstreams of *zone* are to get nothing."""
@@ -123,19 +122,7 @@
 
     def list_present_peers(self):
         """Return the peers whose leases stand, as far as is known."""
-        return [self.peers[name] for name in self._present_peers]
-
-    def list_known_peers(self, zone, now):
-        """Return the peers of *zone* that are present, or were a short time ago.
-
-        Those whose leases ran out in an outage of the store announce themselves
-        again after it; until then they do what they did.
-        """
-        for name, since in list(self._absent_peers.items()):
-            if now - since >= ABSENT_KEEP_S:
-                del self._absent_peers[name]
-        names = self._present_peers | self._absent_peers.keys()
-        return [self.peers[name] for name in names if self.peers[name].zone == zone]
+        return self.peer_book.list_present()
 
     def get_cold_rate(self, service):
         """Return how many requests a second a cold upstream of *service* tolerates.
@@ -182,9 +169,7 @@
         elif isinstance(fact, Configuration):
             self._set_configuration(fact, item.modify_index)
         elif isinstance(fact, PeerAddress):
-            self.peers[fact.name] = fact
-            self._present_peers.add(fact.name)
-            self._absent_peers.pop(fact.name, None)
+            self.peer_book.note(fact)
         elif isinstance(fact, BlockedRequest):
             self.blocked.add(fact.fingerprint, now)
             self.blocked.note_kept(fact.fingerprint)
@@ -209,14 +194,12 @@
         elif isinstance(fact, RolloutOrder):
             self.get_rollout(fact.service).order = None
         elif isinstance(fact, PeerAddress):
-            self._present_peers.discard(fact.name)
-            self._absent_peers[fact.name] = now
+            self.peer_book.lose(fact.name, now)
         elif isinstance(fact, BlockedRequest):
             self.blocked.remove(fact.fingerprint)
         elif isinstance(fact, Evacuation):
             self._take_back(fact, now)
-        # The last configuration and the addresses of peers stay in use: both
-        # are only ever replaced, and a wrong address costs one failed call.
+        # The last configuration stays in use: it is only ever replaced.
 
     def _keep_lapsed(self, key, upstream, now, returned_at):
         """Go on using an upstream that may have lapsed, until it is surely gone."""
@@ -287,42 +270,29 @@
         logger.info("configuration in force", extra=fields)
 
     def _evacuate(self, evacuation):
-        if not evacuation.is_readable:
-            self.rejected += 1
-            logger.error("evacuation not readable", extra={"zone": evacuation.zone})
-        if evacuation.zone in self._evacuated:
-            return
-        self._evacuated.add(evacuation.zone)
-        count = self._count_upstreams(evacuation.zone)
-        # A zone without upstreams may be misspelt.
-        level = logging.INFO if count else logging.WARNING
-        fields = {"zone": evacuation.zone, "upstreams": count}
-        logger.log(level, "zone evacuated", extra=fields)
+        self.rejected += not evacuation.is_readable
+        self._evacuated.add(evacuation, len(self._list_zone(evacuation.zone)))
 
     def _take_back(self, evacuation, now):
         """Use a zone again, carefully.
 
         Its upstreams may be cold, and their entries that say so come later than this.
         """
-        self._evacuated.discard(evacuation.zone)
-        for group in self._upstreams.values():
-            for upstream in group.values():
-                if upstream.zone == evacuation.zone:
-                    declared = self._find_service(upstream.service)
-                    cold_s = declared.cold_s if declared else 0.0
-                    self.cold.note(upstream.start, cold_s, now)
-        fields = {"zone": evacuation.zone}
-        fields["upstreams"] = self._count_upstreams(evacuation.zone)
-        logger.info("zone taken back", extra=fields)
+        group = self._list_zone(evacuation.zone)
+        self._evacuated.remove(evacuation, len(group))
+        for upstream in group:
+            declared = self._find_service(upstream.service)
+            cold_s = declared.cold_s if declared else 0.0
+            self.cold.note(upstream.start, cold_s, now)
+
+    def _list_zone(self, zone):
+        groups = self._upstreams.values()
+        return [u for group in groups for u in group.values() if u.zone == zone]
 
     def _find_service(self, name):
         configuration = self.configuration
         return configuration.services.get(name) if configuration else None
 
-    def _count_upstreams(self, zone):
-        groups = self._upstreams.values()
-        return sum(u.zone == zone for group in groups for u in group.values())
-
     def _note_rollout(self, fact, now):
         rollout = self.get_rollout(fact.service)
         rollout.take(fact, now)
--- a/src/merlinnotch/_placement/warmup.py
+++ b/src/merlinnotch/_placement/warmup.py
@@ -86,7 +86,7 @@
         return count, max(0.0, part - count) / count
 
     def _is_sender(self, upstream, count, now):
-        names = {p.name for p in self._view.list_known_peers(upstream.zone, now)}
+        names = {p.name for p in self._view.peer_book.list_recent(upstream.zone, now)}
         if upstream.zone == self._zone or not names:
             names.add(self._name)
         known, senders = self._senders.get(upstream.start, (None, ()))
--- a/tests/entry/test_conductor.py
+++ b/tests/entry/test_conductor.py
@@ -287,8 +287,7 @@
     view = FleetView(lambda *item: None)
     names = rank("app", [f"name-{number}" for number in range(4)])
     for name in names[1:]:
-        view.peers[name] = PeerAddress(name, "zone-a", "127.0.0.1:1")
-        view._present_peers.add(name)
+        view.peer_book.note(PeerAddress(name, "zone-a", "127.0.0.1:1"))
     view._upstreams["app"] = {"i-2": Upstream("i-2", "app", "h:1", "zone-a", "v2", 4)}
     rollout = view.get_rollout("app")
     rollout.order = RolloutOrder("app", "v2", 24.0, 5)
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -75,8 +75,7 @@
         for name in names:
             view = FleetView(lambda *item: None)
             for other in names:
-                view.peers[other] = PeerAddress(other, "a", f"{other}:1")
-                view._present_peers.add(other)
+                view.peer_book.note(PeerAddress(other, "a", f"{other}:1"))
             port = Port(self, name)
             self.ports[name] = port
             self.views[name] = view
--- a/tests/entry/test_tallies.py
+++ b/tests/entry/test_tallies.py
@@ -44,8 +44,7 @@
     """Return an instance's news and its counts."""
     view = FleetView(lambda *item: None)
     for other in ("one", "two"):
-        view.peers[other] = PeerAddress(other, "zone-a", "127.0.0.1:1")
-        view._present_peers.add(other)
+        view.peer_book.note(PeerAddress(other, "zone-a", "127.0.0.1:1"))
     view.get_rollout("app").order = ORDER
     counts = AnswerCounts.start(f"{name}/1")
     news = TallyNews(wire, name, view, counts, read_clock, ignore, ignore)
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -64,11 +64,11 @@
 
 def test_instances_whose_leases_ran_out_are_known_for_a_while(writer):
     writer.view = make_view_with_peers()
-    names = [p.name for p in writer.view.list_known_peers("z", 0.0)]
+    names = [p.name for p in writer.view.peer_book.list_recent("z", 0.0)]
     assert sorted(names) == ["one", "two"]
     writer.delete("ours/one", 1.0)
-    assert len(writer.view.list_known_peers("z", 30.0)) == 2
-    assert [p.name for p in writer.view.list_known_peers("z", 31.0)] == ["two"]
+    assert len(writer.view.peer_book.list_recent("z", 30.0)) == 2
+    assert [p.name for p in writer.view.peer_book.list_recent("z", 31.0)] == ["two"]
 
 
 def make_view_with_peers():
--- a/tests/placement/test_warmup.py
+++ b/tests/placement/test_warmup.py
@@ -7,6 +7,7 @@
 
 from merlinnotch._fleet import PeerAddress, Upstream
 from merlinnotch._fleet.cold import ColdBook
+from merlinnotch._fleet.peers import PeerBook
 from merlinnotch._placement import SenderWarmUp, WarmUp, WarmUpBound
 
 COLD_PER_S = 9.2
@@ -25,8 +26,10 @@
     cold: ColdBook
     cold_per_s: float = COLD_PER_S
 
-    def list_known_peers(self, zone, now):
-        return [peer for peer in self.peers if peer.zone == zone]
+    def __post_init__(self):
+        self.peer_book = PeerBook()
+        for peer in self.peers:
+            self.peer_book.note(peer)
 
     def get_cold_rate(self, service):
         return self.cold_per_s
@@ -41,7 +44,7 @@
         self._sent = {}
 
     def allows(self, upstream, now):
-        count = 1 + sum(len(self._view.list_known_peers(z, now)) for z in ZONES)
+        count = 1 + sum(len(self._view.peer_book.list_recent(z, now)) for z in ZONES)
         part = self._bound.count_most(COLD_PER_S) / count
         sent = [at for at in self._sent.get(upstream.start, ()) if now - at < 1.0]
         return len(sent) < max(1.0, part)
