A request with no canary and no older version left keeps its version; cold is said where it is so

Found in reading the change: with a canary out of reach and no upstream of the version before, a request was refused as 'warming_up' although warm upstreams of its version were there. Tests: callers where all engines are cold, and where some are warm.

--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -44,37 +44,13 @@
         """Return those of *upstreams* that are warm, or cold and due a request."""
         return [u for u in upstreams if self._warm_up.allows(u, now)]
 
-    def _narrow(self, candidates, listed, call, rollout):
-        """Leave the canaries of *candidates* while their version gets a small share.
-
-        A session stays with its version, whichever of its upstreams are left.
-        """
-        stage = rollout.current_stage
-        if stage is None or stage.takes_all or not rollout.is_active:
-            return candidates
-        target = rollout.order.target
-        if not any(u.version == target for u in candidates):
-            return candidates
-        group = [u for u in listed if u.version == target]
-        canaries = select_canaries(group, call.service, stage.canaries)
-        left = [u for u in self._placer.list_reachable(candidates) if u in canaries]
-        return left if left or call.headers.session is None else candidates
-
     def choose_upstream(self, call, now):
         """Return the :class:`Choice` for the next send.
 
         Raises :class:`RequestRefused` where there is none left.
         """
         listed = self._view.list_upstreams(call.service)
-        if not listed and self._view.is_service_evacuated(call.service):
-            raise RequestRefused(ErrorKind.EVACUATED)
-        if listed and not self._placer.list_reachable(listed):
-            # Trying them all once more would take a quarter second each.
-            raise RequestRefused(
-                ErrorKind.NO_UPSTREAM,
-                f"none of {len(listed)} reachable",
-                retry_after_s=CUT_RETRY_S,
-            )
+        self._check_reachable(call, listed)
         untried = [u for u in listed if u.start not in call.tried]
         allowed = self.list_allowed(untried, now)
         rollout = self._view.get_rollout(call.service)
@@ -87,7 +63,38 @@
                 upstream = self._placer.pick(candidates, work, now)
                 self._warm_up.take(upstream, now)
                 return Choice(upstream, len(untried) - 1)
-        if any(accept(u.version) for accept in accepts for u in untried):
-            raise RequestRefused(ErrorKind.WARMING_UP, f"{len(untried)} cold")
+        if len(allowed) < len(untried):
+            detail = f"{len(untried) - len(allowed)} of {len(untried)} cold"
+            raise RequestRefused(ErrorKind.WARMING_UP, detail)
         detail = f"{len(listed)} listed, {len(call.tried)} tried"
         raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
+
+    def _check_reachable(self, call, listed):
+        """Refuse at once where nothing that is *listed* can be reached."""
+        if not listed and self._view.is_service_evacuated(call.service):
+            raise RequestRefused(ErrorKind.EVACUATED)
+        if listed and not self._placer.list_reachable(listed):
+            # Trying them all once more would take a quarter second each.
+            raise RequestRefused(
+                ErrorKind.NO_UPSTREAM,
+                f"none of {len(listed)} reachable",
+                retry_after_s=CUT_RETRY_S,
+            )
+
+    def _narrow(self, candidates, listed, call, rollout):
+        """Leave the canaries of *candidates* while their version gets a small share.
+
+        A session stays with its version, whichever of its upstreams are left. So does
+        a request where no other version is listed.
+        """
+        stage = rollout.current_stage
+        if stage is None or stage.takes_all or not rollout.is_active:
+            return candidates
+        target = rollout.order.target
+        if not any(u.version == target for u in candidates):
+            return candidates
+        group = [u for u in listed if u.version == target]
+        canaries = select_canaries(group, call.service, stage.canaries)
+        left = [u for u in self._placer.list_reachable(candidates) if u in canaries]
+        stays = call.headers.session is not None or len(group) == len(listed)
+        return candidates if stays and not left else left
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -21,6 +21,7 @@
     SIZED,
     STREAM,
     Caller,
+    make_configuration,
     read_to_end,
     wait_until,
 )
@@ -381,3 +382,31 @@
     assert got.status == 200
     # The one that carries the request, and at least two checks of the path.
     assert world.upstreams["i-1"].connections >= 3
+
+
+def make_warming_world(world):
+    """List one engine that is cold, of a service that bounds what it gets then."""
+    services = make_configuration(1)["services"]
+    services[1] |= {"cold-s": 3.0, "cold-per-s": 0.1}
+    world.configure(services=services)
+    cold = {"service": "engines", "cold-left-ms": 60000}
+    return world.add_upstream("i-1", stream(1, 2), **cold)
+
+
+def test_where_all_are_cold_callers_are_refused_at_once_and_told_when_to_return(
+    world, caller
+):
+    upstream = make_warming_world(world)
+    got = caller.send(STREAM)
+    assert got.status == 503
+    assert json.loads(got.body) == {"error": "warming_up", "outcome": "not-run"}
+    assert 0 < float(got.fields["retry-after"]) <= 1.0
+    assert upstream.requests == []
+
+
+def test_warm_upstreams_are_used_while_others_are_cold(world, caller):
+    cold = make_warming_world(world)
+    warm = world.add_upstream("i-2", stream(1, 2), service="engines")
+    for _ in range(3):
+        assert caller.send(STREAM).status == 200
+    assert (len(cold.requests), len(warm.requests)) == (0, 3)
