Canaries get the usual load, not twice as much

Ruled out: comparing only with as busy answers (a slow version makes its own upstreams busy and would never be compared).

--- a/src/merlinnotch/_entry/conductor.py
+++ b/src/merlinnotch/_entry/conductor.py
@@ -12,7 +12,6 @@
     Hearing,
     count_canaries,
     describe_tallies,
-    find_usual_load,
     judge_version,
     weigh_version,
 )
@@ -181,8 +180,7 @@
         logger.info("stage written", extra=fields | {"age_s": round(age_s, 2)})
 
     def _count_canaries(self, service, rollout, share):
-        usual_load = find_usual_load(self._counts, rollout.order)
-        return count_canaries(self._list_targets(service, rollout), share, usual_load)
+        return count_canaries(self._list_targets(service, rollout), share)
 
     def _carries_load(self, service, rollout):
         """Return whether canaries get about as much as other upstreams do."""
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -1,7 +1,7 @@
 """Moving a service to a new version, and back from a bad one."""
 
 from .busy import name_route
-from .canaries import count_canaries, find_usual_load, select_canaries
+from .canaries import count_canaries, select_canaries
 from .chooser import VersionChooser
 from .counts import AnswerCounts
 from .hearing import Hearing
@@ -38,7 +38,6 @@
     "compare_speeds",
     "count_canaries",
     "describe_tallies",
-    "find_usual_load",
     "is_slower",
     "is_worse",
     "judge_version",
