A last stage that begins too late for its period shows the version under load first

Change: where the end of the period can't be met any more, all traffic stays for 4 s before 'complete': that costs no allowance and the upstreams before still stand. Proof by busy answers is wanted from a share of 0.05 of busy answers again. Test: tests/rollout/test_stages.py.

--- a/src/merlinnotch/_rollout/stages.py
+++ b/src/merlinnotch/_rollout/stages.py
@@ -30,6 +30,9 @@
 SETTLE_S = 0.55
 """Least time from the last stage to completion, in which every instance has
 seen it and a version that fails under load has failed some answers."""
+LATE_LAST_S = 4.0
+"""Length of a last stage that begins too late to end within the period. It costs no
+allowance any more, and upstreams fill up in it while those before still stand."""
 LAST_S = (2.6, 2.0, SETTLE_S + COMPLETE_BEFORE_S)
 """Lengths of the last stage, the best first: a longer one shows more of a version
 under load. Where a tenth of many requests is allowed, only the shortest leaves enough
@@ -93,7 +96,9 @@
 
         *last_stage_s* is how long the last stage has been in force.
         """
-        if age_s < period_s - COMPLETE_BEFORE_S or last_stage_s < SETTLE_S:
+        is_late = age_s - last_stage_s > period_s - SETTLE_S
+        least_s = LATE_LAST_S if is_late else SETTLE_S
+        if age_s < period_s - COMPLETE_BEFORE_S or last_stage_s < least_s:
             return False
         return self._may_take_all(exposure.total, standing)
 
--- a/src/merlinnotch/_rollout/verdict.py
+++ b/src/merlinnotch/_rollout/verdict.py
@@ -30,7 +30,7 @@
 """Chance of so few bad answers from a bad version. It takes six answers without a
 fault; of 26 requests a second with a tenth allowed, a period of 16 s leaves eight for
 the stages before the last one."""
-BUSY_SHARE = 0.1
+BUSY_SHARE = 0.05
 """Part of the answers of the version before that come from busy upstreams where load is
 usual."""
 DOUBT_BELOW = 0.02
--- a/tests/rollout/test_stages.py
+++ b/tests/rollout/test_stages.py
@@ -111,3 +111,11 @@
     due = schedule.find_due(age_s, PERIOD_S, Exposure(0, int(rate * age_s)), judge(0))
     assert due.number == 2
     assert due.share * rate * (PERIOD_S - 2.6 - age_s) >= 20
+
+
+def test_a_last_stage_that_begins_late_shows_the_version_under_load_first():
+    schedule = Schedule(0.15, 30.0)
+    seen = Exposure(100, 700)
+    late = PERIOD_S + 3.0
+    assert not schedule.is_complete(late, PERIOD_S, 3.0, seen, Standing.SOUND)
+    assert schedule.is_complete(late + 1.0, PERIOD_S, 4.0, seen, Standing.SOUND)
