Log which limit ended the wait for an upstream, and why no other one was asked

'read timed out' stood for four limits: the deadline, the time to the response head, a stall, and a stream whose upstream accepts no new connection. A request that got no further attempt named the retry budget only; the attempt limit and a refused choice of an upstream left nothing.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -15,6 +15,9 @@
         self.retries = self._counter(
             "retries", "Sends that failed, by reason", "reason"
         )
+        self.read_limits = self._counter(
+            "read_limits", "Sends that this instance ended, by limit", "limit"
+        )
         self.store_calls = self._counter("store_calls", "Store calls by kind", "kind")
         self.peer_calls = self._counter("peer_calls", "Calls to peers by kind", "kind")
         self.losses = self._counter(
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -7,6 +7,7 @@
 from .._placement import choose_urgency
 from ..platform import decode_response, encode_request, was_not_executed
 from .reachability import compute_check_interval_s
+from .read_limits import LimitKind, get_earlier_limit, read_until
 
 CONNECT_TIMEOUT_S = 0.25
 """Short, because trying another upstream costs less than waiting."""
@@ -117,11 +118,12 @@
         connection.send_request(
             request.method, request.target, pairs, request.body, until
         )
-        if not call.is_retryable or until >= call.deadline:
-            return connection.read_head(until)
+        limit = get_earlier_limit(call.deadline, until, LimitKind.RESPONSE_HEAD)
+        if not call.is_retryable or limit.kind is LimitKind.DEADLINE:
+            return read_until(connection.read_head, limit)
         check_interval_s = compute_check_interval_s(call.route.goal_s)
         return self._reachability_checker.read_while_reachable(
-            upstream, connection.read_head, check_interval_s, until
+            upstream, connection.read_head, check_interval_s, limit
         )
 
     def _process_head(self, call, upstream, connection, head, started_at):
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -18,6 +18,7 @@
 from .._placement import PlacementRequest
 from .attempt import NotRun
 from .larger_model import EscalationPolicy
+from .read_limits import ReadLimitReached
 from .results import ResultRecorder
 from .stream import StreamRelay
 from .timeouts import compute_give_up_time
@@ -107,10 +108,12 @@
             raise self._build_failure_error(call, now)
         self._check_blocked(call, now)
         if len(call.sent_starts) >= call.route.max_upstreams:
+            call.reasons.append("attempt limit")
             raise self._build_exhausted_error(call, now)
         try:
             choice = self._parts.chooser.choose_upstream(call, now)
         except RequestRefused as error:
+            call.reasons.append(str(error.kind))
             if call.may_have_run:
                 raise self._build_exhausted_error(call, now) from error
             raise
@@ -247,9 +250,15 @@
             "reason": reason,
             "detail": str(detail),
         }
+        now = self._read_clock()
+        if isinstance(detail, ReadLimitReached):
+            fields["limit"] = str(detail.kind)
+            self._parts.metrics.read_limits.labels(str(detail.kind)).inc()
+        if call.last_event_at is not None:
+            fields["last_event_ms"] = round((now - call.last_event_at) * 1000.0, 1)
         begun_at = call.run.begun_at
         if begun_at is not None:
-            fields["begun_ms"] = round((self._read_clock() - begun_at) * 1000.0, 1)
+            fields["begun_ms"] = round((now - begun_at) * 1000.0, 1)
         logger.info("upstream request failed", extra=fields)
 
     def _build_exhausted_error(self, call, now):
--- a/src/merlinnotch/_gateway/reachability.py
+++ b/src/merlinnotch/_gateway/reachability.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from .._errors import ConnectFailed, ConnectionTimedOut
+from .._errors import ConnectFailed, ConnectionTimedOut, ConnectRefused
+from .read_limits import LimitKind, ReadLimitReached, read_until
 
 CONNECT_TIMEOUT_S = 0.2
 CONNECT_ATTEMPTS = 2
@@ -17,8 +18,11 @@
 
 @dataclass(frozen=True)
 class _CheckResult:
+    """Whether a new connection succeeded at *checked_at*; *detail* says why not."""
+
     checked_at: float
     is_reachable: bool
+    detail: str = ""
 
 
 class ReachabilityChecker:
@@ -35,43 +39,53 @@
         self._read_clock = read_clock
         self._checks = {}
 
-    def read_while_reachable(self, upstream, read_next, check_interval_s, until):
+    def read_while_reachable(self, upstream, read_next, check_interval_s, limit):
         """Return the result of *read_next*, which is called with a time limit.
 
-        Raises :class:`ConnectionTimedOut` at the time *until*, or after a period of
-        *check_interval_s* seconds without data if *upstream* is then unreachable.
+        Raises :class:`ReadLimitReached` at the :class:`ReadLimit` *limit*, or after a
+        period of *check_interval_s* seconds without data if *upstream* is then
+        unreachable.
         """
         while True:
-            next_check_at = min(until, self._read_clock() + check_interval_s)
+            next_check_at = min(limit.at, self._read_clock() + check_interval_s)
+            if next_check_at >= limit.at:
+                return read_until(read_next, limit)
             try:
                 return read_next(next_check_at)
             except ConnectionTimedOut:
-                if next_check_at >= until or not self._is_reachable(upstream):
-                    raise
+                self._check_reachable(upstream)
 
-    def _is_reachable(self, upstream):
+    def _check_reachable(self, upstream):
+        """Raise :class:`ReadLimitReached` if no new connection succeeds."""
         # No new connections to evacuated zones; open streams there continue.
         if self._view.is_zone_evacuated(upstream.zone):
-            return True
+            return
         now = self._read_clock()
         check = self._checks.get(upstream.start)
         if check is None or now - check.checked_at >= CHECK_TTL_S:
             self._evict_expired(now)
-            check = _CheckResult(self._read_clock(), self._connect(upstream))
+            check = self._connect(upstream)
             self._checks[upstream.start] = check
-        return check.is_reachable
+        if not check.is_reachable:
+            raise ReadLimitReached(LimitKind.UNREACHABLE, check.detail)
 
     def _connect(self, upstream):
+        failures = []
         for _ in range(CONNECT_ATTEMPTS):
             try:
                 connection = self._pool.acquire(
                     upstream.start, upstream.address, CONNECT_TIMEOUT_S, force_new=True
                 )
+            except ConnectRefused:
+                failures.append("refused")
+                continue
             except ConnectFailed:
+                failures.append("failed")
                 continue
             self._pool.release(upstream.start, connection)
-            return True
-        return False
+            return _CheckResult(self._read_clock(), True)
+        detail = "new connections: " + ", ".join(failures)
+        return _CheckResult(self._read_clock(), False, detail)
 
     def _evict_expired(self, now):
         expired = [
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -3,6 +3,7 @@
 from .._errors import ConnectionBroken
 from .events import EventSplitter
 from .reachability import compute_check_interval_s
+from .read_limits import LimitKind, get_earlier_limit, read_until
 
 MIN_STALL_S = 2.0
 STALL_FACTOR = 2.5
@@ -58,15 +59,15 @@
             raise
 
     def _read_part(self, attempt):
-        now = self._read_clock()
-        until = min(self._call.deadline, now + self._stall_timeout_s)
+        stalled_at = self._read_clock() + self._stall_timeout_s
+        limit = get_earlier_limit(self._call.deadline, stalled_at, LimitKind.STALL)
         if not self._call.is_retryable:
-            return attempt.connection.read_part(until)
+            return read_until(attempt.connection.read_part, limit)
         return self._reachability_checker.read_while_reachable(
             attempt.upstream,
             attempt.connection.read_part,
             self._check_interval_s,
-            until,
+            limit,
         )
 
     def _write_events(self, attempt, events):
