--- /dev/null
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -0,0 +1,211 @@
+"""Attempts that an instance must not end while their upstream may still answer."""
+
+import eventlet
+import pytest
+
+from merlinnotch._errors import ConnectFailed, ConnectRefused
+from merlinnotch._http import UpstreamPool
+from merlinnotch._limits import SlidingWindowRetryBudget
+from standins.platform_upstream import make_answer, make_stream_script, write_stream
+from tests.platform_world import PLAIN_PATH, STREAM_PATH, make_routes, wait_until
+
+EVENT_COUNT = 4
+PAUSE_S = 0.9
+"""Longer than the silence after which an instance tries a new connection."""
+
+
+def encode_event(number):
+    return number, b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def pause_after_first_event(request, write):
+    """Script of a stream that is silent for PAUSE_S after its first event."""
+    first = int(request.fields.get("last-event-id", 0)) + 1
+    numbers = range(first, EVENT_COUNT + 1)
+
+    def write_slowly(data):
+        write(data)
+        if b"id: 1\n" in data:
+            eventlet.sleep(PAUSE_S)
+
+    return write_stream(request, write_slowly, [encode_event(n) for n in numbers])
+
+
+def answer_late(request, write):
+    """Script of a plain answer that begins after PAUSE_S."""
+    eventlet.sleep(PAUSE_S)
+    write(make_answer(request))
+    return True
+
+
+@pytest.fixture
+def block_new_connections(monkeypatch):
+    """Return a function that makes additional connections to upstreams fail."""
+
+    def block(error):
+        acquire = UpstreamPool.acquire
+
+        def acquire_unless_new(
+            pool, start, address, connect_timeout_s, force_new=False
+        ):
+            if force_new:
+                raise error
+            return acquire(pool, start, address, connect_timeout_s)
+
+        monkeypatch.setattr(UpstreamPool, "acquire", acquire_unless_new)
+
+    return block
+
+
+@pytest.fixture
+def limit_retries(monkeypatch):
+    """Return a function that limits the retries that the budget grants."""
+
+    def limit(count):
+        granted = []
+
+        def try_acquire(budget, now, min_remaining=0.0):
+            if len(granted) + min_remaining >= count:
+                return False
+            granted.append(now)
+            return True
+
+        monkeypatch.setattr(SlidingWindowRetryBudget, "try_acquire", try_acquire)
+
+    return limit
+
+
+def add_engines(world, *scripts, **changes):
+    """Add an engine for each script; return them."""
+    return [
+        world.add_upstream(f"i-{number}", script, service="engines", **changes)
+        for number, script in enumerate(scripts, 1)
+    ]
+
+
+def send_stream(caller, upstreams):
+    """Return the answer to a stream, and the number of requests at all upstreams."""
+    answer = caller.send(STREAM_PATH, "POST", b"x", x_deadline_ms="4000")
+    return answer, sum(len(upstream.requests) for upstream in upstreams)
+
+
+def assert_whole(answer):
+    assert answer.status == 200
+    assert answer.is_complete
+    assert answer.body.count(b"data: piece") == EVENT_COUNT
+
+
+def test_stream_of_an_upstream_that_refuses_connections_is_not_interrupted(
+    world, caller, block_new_connections
+):
+    block_new_connections(ConnectRefused("full"))
+    scripts = [pause_after_first_event, pause_after_first_event]
+    answer, request_count = send_stream(caller, add_engines(world, *scripts))
+    assert_whole(answer)
+    assert request_count == 1
+
+
+def test_stream_is_not_cut_off_as_unreachable_without_retry_budget(
+    world, caller, block_new_connections, limit_retries
+):
+    block_new_connections(ConnectFailed("timed out"))
+    limit_retries(0)
+    scripts = [pause_after_first_event, pause_after_first_event]
+    answer, request_count = send_stream(caller, add_engines(world, *scripts))
+    assert_whole(answer)
+    assert request_count == 1
+
+
+def test_stream_is_not_cut_off_at_the_stall_limit_without_retry_budget(
+    world, caller, limit_retries, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 0.4)
+    limit_retries(0)
+    scripts = [pause_after_first_event, pause_after_first_event]
+    answer, request_count = send_stream(caller, add_engines(world, *scripts))
+    assert_whole(answer)
+    assert request_count == 1
+
+
+def test_stream_is_not_cut_off_without_another_upstream(
+    world, caller, block_new_connections
+):
+    block_new_connections(ConnectFailed("timed out"))
+    answer, _ = send_stream(caller, add_engines(world, pause_after_first_event))
+    assert_whole(answer)
+
+
+def test_stream_is_not_cut_off_at_the_attempt_limit(
+    world, caller, block_new_connections
+):
+    block_new_connections(ConnectFailed("timed out"))
+    world.configure(routes=[route | {"attempts": 1} for route in make_routes()])
+    scripts = [pause_after_first_event, pause_after_first_event]
+    answer, _ = send_stream(caller, add_engines(world, *scripts))
+    assert_whole(answer)
+
+
+def test_stalled_stream_that_cannot_be_resumed_is_not_cut_off(
+    world, caller, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 0.4)
+    routes = [
+        route | {"resumable": False} if route["kind"] == "streaming" else route
+        for route in make_routes()
+    ]
+    world.configure(routes=routes)
+    answer, _ = send_stream(caller, add_engines(world, pause_after_first_event))
+    assert_whole(answer)
+
+
+def test_request_is_not_given_up_without_retry_budget(world, caller, limit_retries):
+    limit_retries(0)
+    upstreams = [world.add_upstream(f"i-{n}", answer_late) for n in (1, 2)]
+    assert caller.send(PLAIN_PATH).status == 200
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+def test_refused_connection_does_not_use_up_the_retry_of_a_broken_stream(
+    world, caller, limit_retries
+):
+    limit_retries(1)
+    broken = make_stream_script(last=EVENT_COUNT, stop_after=2)
+    add_engines(world, broken)
+    process = world.add_instance()
+    answers = []
+    # The upstreams that refuse connections are listed after the stream has begun.
+    whole = make_stream_script(last=EVENT_COUNT)
+
+    def add_others(request, write):
+        for number in range(2, 6):
+            world.add_upstream(f"i-{number}", whole, service="engines").close()
+        world.add_upstream("i-9", whole, service="engines")
+        wait_until(lambda: len(process.view.list_upstreams("engines")) == 6)
+        return broken(request, write)
+
+    world.upstreams["i-1"].script = add_others
+    answers.append(caller.send(STREAM_PATH, "POST", b"x", x_deadline_ms="4000"))
+    assert_whole(answers[0])
+
+
+def test_stream_is_resumed_elsewhere_if_its_upstream_is_unreachable(
+    world, caller, block_new_connections, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 3600.0)
+    block_new_connections(ConnectFailed("timed out"))
+
+    def fall_silent(request, write):
+        write_stream(request, write, [encode_event(1)], pause_s=3600)
+
+    add_engines(world, fall_silent)
+    process = world.add_instance()
+    answers = []
+    eventlet.spawn(lambda: answers.append(send_stream(caller, [])[0]))
+    wait_until(lambda: world.upstreams["i-1"].requests)
+    second = world.add_upstream(
+        "i-2", make_stream_script(last=EVENT_COUNT), service="engines"
+    )
+    wait_until(lambda: len(process.view.list_upstreams("engines")) == 2)
+    wait_until(lambda: answers)
+    assert_whole(answers[0])
+    assert second.requests[0].fields.get("last-event-id") == "1"
