An attempt is given up only if another one is certain

What callers saw: streams closed in the middle, and 502 for answers that were being made, while the upstream was at work.

Cause: an instance ended an attempt at a limit of its own (stall, response head, an upstream taken for unreachable) and looked only afterwards whether the call might be sent on. The retry budget, the attempts of the route or the upstreams were used up, so the caller lost the answer that was under way and got none in its place. A stream that can't be resumed was ended at the stall limit though nothing could follow. The class: a resource is let go before its replacement is held.

Why it holds: PatientReader asks RetryReserver first, which takes the attempt from the budget and wants an upstream that is reachable, not tried and allowed. Where none is to be had the instance reads on to the call's deadline. Only an upstream that is silent past the limit and unreachable as well is let go without it, so that callers can retry.

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -3,9 +3,11 @@
 from .._gateway import (
     AttemptSender,
     GatewayParts,
+    PatientReader,
     Prober,
     ReachabilityChecker,
     RetryBudgets,
+    RetryReserver,
     UpstreamChooser,
 )
 from .._placement import (
@@ -53,7 +55,13 @@
         ColdRateLimit(settings.warm_up.overshoot, settings.warm_up.slack),
     )
     versions = VersionChooser(generator)
-    reachability_checker = ReachabilityChecker(pool, view, read_clock)
+    chooser = UpstreamChooser(view, versions, placer, warm_up, generator)
+    retry_budgets = _build_budgets(settings.retries, view)
+    reader = PatientReader(
+        ReachabilityChecker(pool, view, read_clock),
+        RetryReserver(chooser, retry_budgets, read_clock),
+        read_clock,
+    )
     return GatewayParts(
         view=view,
         pool=pool,
@@ -63,13 +71,13 @@
         stream_lengths=StreamLengths(),
         placer=placer,
         cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
-        chooser=UpstreamChooser(view, versions, placer, warm_up, generator),
+        chooser=chooser,
         attempt_sender=AttemptSender(
-            pool, loads, prefill_rates, read_clock, load_exchange, reachability_checker
+            pool, loads, prefill_rates, read_clock, load_exchange, reader
         ),
-        reachability_checker=reachability_checker,
+        reader=reader,
         prober=Prober(pool, loads, view, crash_detector.record_connection_refused),
-        retry_budgets=_build_budgets(settings.retries, view),
+        retry_budgets=retry_budgets,
         load_exchange=load_exchange,
         crash_detector=crash_detector,
         version_counts=counts,
--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -8,17 +8,21 @@
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
+from .patience import PatientReader
 from .prober import Prober
 from .reachability import ReachabilityChecker
 from .retry_budgets import RetryBudgets
+from .retry_reservation import RetryReserver
 
 __all__ = [
     "AttemptSender",
     "Forwarder",
     "Gateway",
     "GatewayParts",
+    "PatientReader",
     "Prober",
     "ReachabilityChecker",
     "RetryBudgets",
+    "RetryReserver",
     "UpstreamChooser",
 ]
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -7,7 +7,7 @@
 from .._placement import choose_urgency
 from ..platform import decode_response, encode_request, was_not_executed
 from .reachability import compute_check_interval_s
-from .read_limits import LimitKind, get_earlier_limit, read_until
+from .read_limits import LimitKind, ReadLimit
 
 CONNECT_TIMEOUT_S = 0.25
 """Short, because trying another upstream costs less than waiting."""
@@ -46,7 +46,7 @@
     """Sends a call to an upstream and reads the response head.
 
     *load_exchange* reports the prompts sent and the load of upstreams to the other
-    instances. *reachability_checker* is a :class:`ReachabilityChecker`.
+    instances. *reader* is a :class:`PatientReader`.
     """
 
     def __init__(
@@ -56,14 +56,14 @@
         prefill_rates,
         read_clock,
         load_exchange,
-        reachability_checker,
+        reader,
     ):
         self._pool = pool
         self._loads = loads
         self._prefill_rates = prefill_rates
         self._read_clock = read_clock
         self._load_exchange = load_exchange
-        self._reachability_checker = reachability_checker
+        self._reader = reader
 
     def send(self, call, upstream, placement_request, estimate, until):
         """Return the :class:`Attempt` of sending *call* to *upstream*.
@@ -118,12 +118,12 @@
         connection.send_request(
             request.method, request.target, pairs, request.body, until
         )
-        limit = get_earlier_limit(call.deadline, until, LimitKind.RESPONSE_HEAD)
-        if not call.is_retryable or limit.kind is LimitKind.DEADLINE:
-            return read_until(connection.read_head, limit)
-        check_interval_s = compute_check_interval_s(call.route.goal_s)
-        return self._reachability_checker.read_while_reachable(
-            upstream, connection.read_head, check_interval_s, limit
+        return self._reader.read(
+            call,
+            upstream,
+            connection.read_head,
+            compute_check_interval_s(call.route.goal_s),
+            ReadLimit(until, LimitKind.RESPONSE_HEAD),
         )
 
     def _process_head(self, call, upstream, connection, head, started_at):
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -55,25 +55,44 @@
         self._check_reachable(call, listed)
         untried = [u for u in listed if u.start not in call.tried_starts]
         allowed = self.filter_by_warm_up(untried, now)
+        candidates = self._list_candidates(call, listed, allowed)
+        if candidates:
+            placement_request = PlacementRequest(call.headers.prompt, call.model)
+            upstream = self._placer.pick(candidates, placement_request, now)
+            self._warm_up.record_sent(upstream, now)
+            return Choice(upstream, len(untried) - 1)
+        if len(allowed) < len(untried):
+            detail = (
+                f"{len(untried) - len(allowed)} of {len(untried)} upstreams are cold"
+            )
+            raise RequestRefused(ErrorKind.WARMING_UP, detail)
+        detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
+        raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
+
+    def has_alternative(self, call, upstream, now):
+        """Return whether a reachable upstream other than *upstream* can be chosen."""
+        listed = self._view.list_upstreams(call.service)
+        excluded = call.tried_starts | {upstream.start}
+        untried = [u for u in listed if u.start not in excluded]
+        reachable = self._placer.list_reachable(untried)
+        allowed = self.filter_by_warm_up(reachable, now)
+        return bool(self._list_candidates(call, listed, allowed))
+
+    def _list_candidates(self, call, listed, allowed):
+        """Return those of *allowed* that have a version for *call*.
+
+        The version is drawn by the rollout's stage, or is that of the call's session.
+        """
         rollout = self._view.get_rollout(call.service)
         version_filters = self._versions.choose(
             call.service, rollout, call.headers.session
         )
-        placement_request = PlacementRequest(call.headers.prompt, call.model)
         for accepts_version in version_filters:
             candidates = [u for u in allowed if accepts_version(u.version)]
             candidates = self._restrict_to_canaries(candidates, listed, call, rollout)
             if candidates:
-                upstream = self._placer.pick(candidates, placement_request, now)
-                self._warm_up.record_sent(upstream, now)
-                return Choice(upstream, len(untried) - 1)
-        if len(allowed) < len(untried):
-            detail = (
-                f"{len(untried) - len(allowed)} of {len(untried)} upstreams are cold"
-            )
-            raise RequestRefused(ErrorKind.WARMING_UP, detail)
-        detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
-        raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
+                return candidates
+        return []
 
     def _check_reachable(self, call, listed):
         """Raise :class:`RequestRefused` if no upstream can be used at all.
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -20,6 +20,7 @@
 from .larger_model import EscalationPolicy
 from .read_limits import ReadLimitReached
 from .results import ResultRecorder
+from .retry_reservation import RetryDenial
 from .stream import StreamRelay
 from .timeouts import compute_give_up_time
 
@@ -108,7 +109,7 @@
             raise self._build_failure_error(call, now)
         self._check_blocked(call, now)
         if len(call.sent_starts) >= call.route.max_upstreams:
-            call.reasons.append("attempt limit")
+            call.reasons.append(str(RetryDenial.ATTEMPT_LIMIT))
             raise self._build_exhausted_error(call, now)
         try:
             choice = self._parts.chooser.choose_upstream(call, now)
@@ -118,7 +119,7 @@
                 raise self._build_exhausted_error(call, now) from error
             raise
         if call.send_count and not self._take_retry(call, now):
-            call.reasons.append("no retry budget")
+            call.reasons.append(str(RetryDenial.NO_BUDGET))
             raise self._build_exhausted_error(call, now)
         return choice
 
@@ -219,7 +220,7 @@
             self._parts.select_forwarded_fields,
             self._read_clock,
             self._results.record_gap,
-            self._parts.reachability_checker,
+            self._parts.reader,
         )
         relay.run(attempt)
         self._parts.crash_detector.record_answered(call.run)
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -15,8 +15,8 @@
 from .._rollout import AnswerCounts
 from .attempt import AttemptSender
 from .choice import UpstreamChooser
+from .patience import PatientReader
 from .prober import Prober
-from .reachability import ReachabilityChecker
 from .retry_budgets import RetryBudgets
 
 
@@ -38,7 +38,7 @@
     chooser: UpstreamChooser
     attempt_sender: AttemptSender
     prober: Prober
-    reachability_checker: ReachabilityChecker
+    reader: PatientReader
     retry_budgets: RetryBudgets
     load_exchange: object
     crash_detector: object
--- /dev/null
+++ b/src/merlinnotch/_gateway/patience.py
@@ -0,0 +1,81 @@
+"""Waiting for upstreams that are silent."""
+
+import logging
+
+from .._errors import ConnectionTimedOut
+from .read_limits import LimitKind, ReadLimit, ReadLimitReached, read_until
+
+logger = logging.getLogger("merlinnotch")
+
+
+class PatientReader:
+    """Reads responses, and ends attempts at upstreams that have fallen silent.
+
+    A silent upstream may still answer. Its attempt is therefore ended before the call's
+    deadline only if another attempt has been reserved.
+
+    *reachability_checker* is a :class:`ReachabilityChecker`, *retry_reserver* a
+    :class:`RetryReserver`.
+    """
+
+    def __init__(self, reachability_checker, retry_reserver, read_clock):
+        self._reachability_checker = reachability_checker
+        self._retry_reserver = retry_reserver
+        self._read_clock = read_clock
+
+    def read(self, call, upstream, read_next, check_interval_s, limit):
+        """Return the result of *read_next*, which is called with a time limit.
+
+        Raises :class:`ReadLimitReached` at the deadline of *call*. If another attempt
+        could be reserved, also at the :class:`ReadLimit` *limit*, or after a period of
+        *check_interval_s* seconds without data if *upstream* is then unreachable.
+        Without a reservation it is raised if *upstream* is unreachable at *limit*, so
+        that the caller can retry.
+        """
+        deadline = ReadLimit(call.deadline, LimitKind.DEADLINE)
+        if not call.is_retryable:
+            return read_until(read_next, deadline)
+        is_kept = False
+        while True:
+            next_check_at = self._compute_next_check(check_interval_s, limit)
+            if next_check_at >= deadline.at:
+                return read_until(read_next, deadline)
+            try:
+                return read_next(next_check_at)
+            except ConnectionTimedOut as error:
+                is_kept = self._end_or_keep(call, upstream, limit, is_kept, error)
+
+    def _compute_next_check(self, check_interval_s, limit):
+        now = self._read_clock()
+        next_check_at = now + check_interval_s
+        return min(next_check_at, limit.at) if limit.at > now else next_check_at
+
+    def _end_or_keep(self, call, upstream, limit, was_kept, error):
+        """Raise :class:`ReadLimitReached`, or return whether the limit was ignored."""
+        is_late = self._read_clock() >= limit.at
+        reached = ReadLimitReached(limit.kind) if is_late else self._check(upstream)
+        if reached is None:
+            return was_kept
+        denial = self._retry_reserver.try_reserve(call, upstream)
+        if denial is None or (is_late and self._check(upstream) is not None):
+            raise reached from error
+        if not was_kept:
+            _log_kept(call, upstream, reached, denial)
+        return True
+
+    def _check(self, upstream):
+        """Return the :class:`ReadLimitReached` for an unreachable upstream, or None."""
+        check = self._reachability_checker.check(upstream)
+        if check.is_reachable:
+            return None
+        return ReadLimitReached(LimitKind.UNREACHABLE, check.detail)
+
+
+def _log_kept(call, upstream, reached, denial):
+    fields = {
+        "request": call.headers.attempt_id,
+        "upstream": upstream.id,
+        "limit": str(reached.kind),
+        "reason": str(denial),
+    }
+    logger.info("silent upstream kept", extra=fields)
--- a/src/merlinnotch/_gateway/reachability.py
+++ b/src/merlinnotch/_gateway/reachability.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from .._errors import ConnectFailed, ConnectionTimedOut, ConnectRefused
-from .read_limits import LimitKind, ReadLimitReached, read_until
+from .._errors import ConnectFailed, ConnectRefused
 
 CONNECT_TIMEOUT_S = 0.2
 CONNECT_ATTEMPTS = 2
@@ -17,8 +16,8 @@
 
 
 @dataclass(frozen=True)
-class _CheckResult:
-    """Whether a new connection succeeded at *checked_at*; *detail* says why not."""
+class CheckResult:
+    """Whether an upstream was reachable at *checked_at*; *detail* says why not."""
 
     checked_at: float
     is_reachable: bool
@@ -40,37 +39,20 @@
         self._pool = pool
         self._view = view
         self._read_clock = read_clock
-        self._checks = {}
-
-    def read_while_reachable(self, upstream, read_next, check_interval_s, limit):
-        """Return the result of *read_next*, which is called with a time limit.
-
-        Raises :class:`ReadLimitReached` at the :class:`ReadLimit` *limit*, or after a
-        period of *check_interval_s* seconds without data if *upstream* is then
-        unreachable.
-        """
-        while True:
-            next_check_at = min(limit.at, self._read_clock() + check_interval_s)
-            if next_check_at >= limit.at:
-                return read_until(read_next, limit)
-            try:
-                return read_next(next_check_at)
-            except ConnectionTimedOut:
-                self._check_reachable(upstream)
+        self._results = {}
 
-    def _check_reachable(self, upstream):
-        """Raise :class:`ReadLimitReached` if no new connection succeeds."""
+    def check(self, upstream):
+        """Return a :class:`CheckResult` for *upstream*, at most CHECK_TTL_S old."""
+        now = self._read_clock()
         # No new connections to evacuated zones; open streams there continue.
         if self._view.is_zone_evacuated(upstream.zone):
-            return
-        now = self._read_clock()
-        check = self._checks.get(upstream.start)
-        if check is None or now - check.checked_at >= CHECK_TTL_S:
+            return CheckResult(now, True)
+        result = self._results.get(upstream.start)
+        if result is None or now - result.checked_at >= CHECK_TTL_S:
             self._evict_expired(now)
-            check = self._connect(upstream)
-            self._checks[upstream.start] = check
-        if not check.is_reachable:
-            raise ReadLimitReached(LimitKind.UNREACHABLE, check.detail)
+            result = self._connect(upstream)
+            self._results[upstream.start] = result
+        return result
 
     def _connect(self, upstream):
         failures = []
@@ -80,22 +62,22 @@
                     upstream.start, upstream.address, CONNECT_TIMEOUT_S, force_new=True
                 )
             except ConnectRefused:
-                return _CheckResult(self._read_clock(), True)
+                return CheckResult(self._read_clock(), True)
             except ConnectFailed as error:
                 failures.append(str(error))
                 continue
             self._pool.release(upstream.start, connection)
-            return _CheckResult(self._read_clock(), True)
-        return _CheckResult(self._read_clock(), False, "; ".join(failures))
+            return CheckResult(self._read_clock(), True)
+        return CheckResult(self._read_clock(), False, "; ".join(failures))
 
     def _evict_expired(self, now):
         expired = [
-            s
-            for s, check in self._checks.items()
-            if now - check.checked_at >= CHECK_TTL_S
+            start
+            for start, result in self._results.items()
+            if now - result.checked_at >= CHECK_TTL_S
         ]
         for start in expired:
-            del self._checks[start]
+            del self._results[start]
 
 
 def compute_check_interval_s(goal_s):
--- a/src/merlinnotch/_gateway/read_limits.py
+++ b/src/merlinnotch/_gateway/read_limits.py
@@ -31,13 +31,6 @@
         self.kind = kind
 
 
-def get_earlier_limit(deadline, at, kind):
-    """Return the :class:`ReadLimit` at *at* for *kind*, or at an earlier *deadline*."""
-    if deadline <= at:
-        return ReadLimit(deadline, LimitKind.DEADLINE)
-    return ReadLimit(at, kind)
-
-
 def read_until(read_next, limit):
     """Return the result of *read_next*, which is called with the time of *limit*.
 
--- /dev/null
+++ b/src/merlinnotch/_gateway/retry_reservation.py
@@ -0,0 +1,42 @@
+"""Reservation of further attempts."""
+
+import enum
+
+
+class RetryDenial(enum.StrEnum):
+    """Why a call gets no further attempt, as logged in ``reasons``."""
+
+    NOT_RETRYABLE = "not retryable"
+    ATTEMPT_LIMIT = "attempt limit"
+    NO_UPSTREAM = "no other upstream"
+    NO_BUDGET = "no retry budget"
+
+
+class RetryReserver:
+    """Takes the next attempt of a call from the retry budget in advance.
+
+    Without a reservation, an attempt that is given up may turn out to be the last one
+    that the call could get.
+    """
+
+    def __init__(self, chooser, retry_budgets, read_clock):
+        self._chooser = chooser
+        self._retry_budgets = retry_budgets
+        self._read_clock = read_clock
+
+    def try_reserve(self, call, upstream):
+        """Reserve an attempt of *call* on an upstream other than *upstream*.
+
+        Return None if it is reserved, otherwise the :class:`RetryDenial`.
+        """
+        if not call.is_retryable:
+            return RetryDenial.NOT_RETRYABLE
+        if len(call.sent_starts) >= call.route.max_upstreams:
+            return RetryDenial.ATTEMPT_LIMIT
+        now = self._read_clock()
+        if not self._chooser.has_alternative(call, upstream, now):
+            return RetryDenial.NO_UPSTREAM
+        if not call.retry_reserved:
+            budget = self._retry_budgets.get(call.service)
+            call.retry_reserved = budget.try_acquire(now)
+        return None if call.retry_reserved else RetryDenial.NO_BUDGET
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -3,7 +3,7 @@
 from .._errors import ConnectionBroken
 from .events import EventSplitter
 from .reachability import compute_check_interval_s
-from .read_limits import LimitKind, get_earlier_limit, read_until
+from .read_limits import LimitKind, ReadLimit
 
 MIN_STALL_S = 2.0
 STALL_FACTOR = 2.5
@@ -19,7 +19,7 @@
     written before the first event, so that the response can be replaced until then.
 
     *record_gap* is called with the call, the attempt and the seconds between events.
-    *reachability_checker* is a :class:`ReachabilityChecker`.
+    *reader* is a :class:`PatientReader`.
     """
 
     def __init__(
@@ -29,14 +29,14 @@
         select_forwarded_fields,
         read_clock,
         record_gap,
-        reachability_checker,
+        reader,
     ):
         self._call = call
         self._connection = connection
         self._select_forwarded_fields = select_forwarded_fields
         self._read_clock = read_clock
         self._record_gap = record_gap
-        self._reachability_checker = reachability_checker
+        self._reader = reader
         self._check_interval_s = compute_check_interval_s(call.route.pause_goal_s)
         self._last_write_at = None
         self._stall_timeout_s = max(MIN_STALL_S, STALL_FACTOR * call.route.pause_goal_s)
@@ -60,14 +60,12 @@
 
     def _read_part(self, attempt):
         stalled_at = self._read_clock() + self._stall_timeout_s
-        limit = get_earlier_limit(self._call.deadline, stalled_at, LimitKind.STALL)
-        if not self._call.is_retryable:
-            return read_until(attempt.connection.read_part, limit)
-        return self._reachability_checker.read_while_reachable(
+        return self._reader.read(
+            self._call,
             attempt.upstream,
             attempt.connection.read_part,
             self._check_interval_s,
-            limit,
+            ReadLimit(stalled_at, LimitKind.STALL),
         )
 
     def _write_events(self, attempt, events):
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -31,6 +31,11 @@
     return write_stream(request, write_slowly, [encode_event(n) for n in numbers])
 
 
+def fall_silent(request, write):
+    """Script of a stream that is silent for good after its first event."""
+    write_stream(request, write, [encode_event(1)], pause_s=3600)
+
+
 def answer_late(request, write):
     """Script of a plain answer that begins after PAUSE_S."""
     eventlet.sleep(PAUSE_S)
@@ -188,15 +193,24 @@
     assert_whole(answers[0])
 
 
+def test_stream_that_is_stalled_and_unreachable_is_not_held_until_the_deadline(
+    world, caller, block_new_connections, limit_retries, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 0.4)
+    block_new_connections(ConnectFailed("timed out"))
+    limit_retries(0)
+    add_engines(world, fall_silent, fall_silent)
+    with eventlet.Timeout(3.0):
+        answer = caller.send(STREAM_PATH, "POST", b"x", x_deadline_ms="4000")
+    assert not answer.is_complete
+
+
 def test_stream_of_unreachable_upstream_is_resumed_on_another(
     world, caller, block_new_connections, monkeypatch
 ):
     monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 3600.0)
     block_new_connections(ConnectFailed("timed out"))
 
-    def fall_silent(request, write):
-        write_stream(request, write, [encode_event(1)], pause_s=3600)
-
     add_engines(world, fall_silent)
     process = world.add_instance()
     answers = []
