A refused connection does not use up a reserved retry

What callers saw: a stream whose upstream had broken off, or whose small model's answer had been let go for a larger one, was cut off for 'no retry budget' after its next upstream had refused the connection, though nothing had been sent.

Cause: the retry was taken from the budget when the upstream was chosen, and a connection that failed gave nothing back; each further upstream cost another one.

Why it holds: the budget bounds what reaches upstreams. A send that never left keeps its place in the budget for the next upstream of the same call.

--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -77,6 +77,8 @@
             self._parts.crash_detector.runs.close(call.run)
             self._parts.prober.mark_unreachable(upstream)
             call.tried_starts.add(upstream.start)
+            # Nothing was sent, so a retry is still to be made.
+            call.retry_reserved = call.send_count > 0
             self._record_failed_send(call, upstream, "unreachable", error)
         except NotRun as error:
             self._parts.crash_detector.runs.close(call.run)
