An upstream at its connection limit does not count as crashed

A request that had just begun at three busy upstreams was blocked in the whole fleet for ten minutes, refused with 503, while all three were answering it.

Cause: a refusal was taken as proof that the process has ended. While a request still has its connection, the upstream has not ended: its host would have reset it. Reports of other instances are weighed in the same way. The prober tells of each refusal instead of the first, so that an end whose resets are read a moment later is still reported.

Two tests failed before (blocked on all 12 instances); the third keeps the detection.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -95,8 +95,12 @@
         run.disconnected_at = self._read_clock()
 
     def record_connection_refused(self, upstream):
-        """Record that an upstream refuses connections, that is, has just ended."""
-        self._report_losses(upstream.start, self._read_clock())
+        """Record that an upstream refuses connections: it has ended or is at its limit.
+
+        While a request still has its connection, the upstream has not ended.
+        """
+        if not self.runs.has_open_runs(upstream.start):
+            self._report_losses(upstream.start, self._read_clock())
 
     def record_removed(self, upstream):
         """Record that an upstream was removed; the time at which it ended is unknown.
@@ -216,7 +220,8 @@
         self._record_losses(losses)
         for start in {loss.start for loss in losses}:
             # Runs that were abandoned here have no connection left to show the failure.
-            self._report_losses(start, self._read_clock())
+            if not self.runs.has_open_runs(start):
+                self._report_losses(start, self._read_clock())
 
     def _handle_cleared(self, body):
         self._clear_suspicion(body[0])
--- a/src/merlinnotch/_gateway/prober.py
+++ b/src/merlinnotch/_gateway/prober.py
@@ -21,8 +21,7 @@
     Until then placement prefers other upstreams, as a request sent there would wait for
     the connection timeout.
 
-    *on_refused* is called with an upstream if its host refuses the connection, once
-    per series of probes.
+    *on_refused* is called with an upstream each time its host refuses the connection.
     """
 
     def __init__(self, pool, loads, view, on_refused=lambda upstream: None):
@@ -71,7 +70,7 @@
                 logger.info(
                     "upstream refused connection", extra={"upstream": upstream.id}
                 )
-                self._on_refused(upstream)
+            self._on_refused(upstream)
             return False
         except ConnectFailed:
             return False
--- a/src/merlinnotch/_poison/runs.py
+++ b/src/merlinnotch/_poison/runs.py
@@ -72,6 +72,10 @@
             if run.finished_at is not None and now - run.finished_at > RUN_RETENTION_S:
                 self.close(run)
 
+    def has_open_runs(self, start):
+        """Return whether a request still has its connection to an upstream."""
+        return any(run.finished_at is None for run in self._runs.get(start, ()))
+
     def pop_losses(self, start, seen_at):
         """Remove and return as :class:`Loss` the runs on an upstream that has ended.
 
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -126,6 +126,42 @@
     wait_until(lambda: fleet.store.keys == {blocked_key(CULPRIT)})
 
 
+def open_run(fleet, name, upstream_id):
+    """Return a request's run that has just begun, and its upstream."""
+    upstream = Upstream(upstream_id, "engines", "h:1", "a", "v1", 4)
+    run = fleet.detectors[name].runs.open(CULPRIT, upstream.start)
+    run.begun_at = fleet.now
+    return run, upstream
+
+
+def test_request_is_not_blocked_while_upstreams_at_their_limit_still_run_it(fleet):
+    for number in range(3):
+        _, upstream = open_run(fleet, "n-0", f"i-{number}")
+        fleet.detectors["n-0"].record_connection_refused(upstream)
+    fleet.evaluate()
+    assert fleet.list_blocking_instances() == set()
+
+
+def test_request_is_not_blocked_by_reports_on_upstreams_that_still_run_it(fleet):
+    for number in range(3):
+        for name in fleet.detectors.keys() - {"n-1"}:
+            open_run(fleet, name, f"i-{number}")
+        fleet.crash_upstream("n-1", f"i-{number}", b"%d" % number * 12)
+    fleet.evaluate()
+    assert fleet.list_blocking_instances() == set()
+
+
+def test_run_that_is_lost_after_the_first_refusal_is_reported_at_the_next(fleet):
+    detector = fleet.detectors["n-0"]
+    for number in range(3):
+        run, upstream = open_run(fleet, "n-0", f"i-{number}")
+        detector.record_connection_refused(upstream)
+        detector.record_connection_lost(run)
+        detector.record_connection_refused(upstream)
+    fleet.evaluate()
+    assert fleet.list_blocking_instances() == set(fleet.views)
+
+
 def test_culprit_is_blocked_while_half_of_the_fleet_is_unreachable(fleet):
     fleet.unreachable = {f"n-{number}" for number in range(6)}
     for number in range(3):
