A response is discarded for a larger model only if an upstream can take it

What callers saw: 502 for a response whose stream had begun, as no upstream was left for the larger model: they had left, were cold, evacuated or unreachable.

Cause: the same as for silent upstreams. The escalation took the retry from the budget and let the small model's response go, then chose an upstream. It now asks the same RetryReserver, which wants a budget, an attempt and an upstream.

test_response_is_not_discarded_for_a_larger_model_without_an_upstream failed before (502).

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -57,10 +57,9 @@
     versions = VersionChooser(generator)
     chooser = UpstreamChooser(view, versions, placer, warm_up, generator)
     retry_budgets = _build_budgets(settings.retries, view)
+    retry_reserver = RetryReserver(chooser, retry_budgets, read_clock)
     reader = PatientReader(
-        ReachabilityChecker(pool, view, read_clock),
-        RetryReserver(chooser, retry_budgets, read_clock),
-        read_clock,
+        ReachabilityChecker(pool, view, read_clock), retry_reserver, read_clock
     )
     return GatewayParts(
         view=view,
@@ -78,6 +77,7 @@
         reader=reader,
         prober=Prober(pool, loads, view, crash_detector.record_connection_refused),
         retry_budgets=retry_budgets,
+        retry_reserver=retry_reserver,
         load_exchange=load_exchange,
         crash_detector=crash_detector,
         version_counts=counts,
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -69,10 +69,13 @@
         detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
         raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
 
-    def has_alternative(self, call, upstream, now):
-        """Return whether a reachable upstream other than *upstream* can be chosen."""
+    def has_candidate(self, call, now, excluded_start=None):
+        """Return whether a reachable upstream can be chosen for the next attempt.
+
+        The one of *excluded_start* does not count.
+        """
         listed = self._view.list_upstreams(call.service)
-        excluded = call.tried_starts | {upstream.start}
+        excluded = call.tried_starts | {excluded_start}
         untried = [u for u in listed if u.start not in excluded]
         reachable = self._placer.list_reachable(untried)
         allowed = self.filter_by_warm_up(reachable, now)
--- a/src/merlinnotch/_gateway/larger_model.py
+++ b/src/merlinnotch/_gateway/larger_model.py
@@ -41,10 +41,11 @@
         if larger_model is None:
             return None
         # The current response may only be discarded if the retry is certain.
-        budget = self._parts.retry_budgets.get(call.service)
-        call.retry_reserved = budget.try_acquire(now, min_remaining=RESERVED_RETRIES)
-        if not call.retry_reserved:
-            call.reasons.append("no budget for a larger model")
+        denial = self._parts.retry_reserver.try_reserve(
+            call, min_remaining=RESERVED_RETRIES
+        )
+        if denial is not None:
+            call.reasons.append(f"larger model: {denial}")
             return None
         return larger_model
 
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -18,6 +18,7 @@
 from .patience import PatientReader
 from .prober import Prober
 from .retry_budgets import RetryBudgets
+from .retry_reservation import RetryReserver
 
 
 @dataclass
@@ -40,6 +41,7 @@
     prober: Prober
     reader: PatientReader
     retry_budgets: RetryBudgets
+    retry_reserver: RetryReserver
     load_exchange: object
     crash_detector: object
     version_counts: AnswerCounts
--- a/src/merlinnotch/_gateway/patience.py
+++ b/src/merlinnotch/_gateway/patience.py
@@ -56,7 +56,7 @@
         reached = ReadLimitReached(limit.kind) if is_late else self._check(upstream)
         if reached is None:
             return was_kept
-        denial = self._retry_reserver.try_reserve(call, upstream)
+        denial = self._retry_reserver.try_reserve(call, upstream.start)
         if denial is None or (is_late and self._check(upstream) is not None):
             raise reached from error
         if not was_kept:
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -7,7 +7,14 @@
 from merlinnotch._http import UpstreamPool
 from merlinnotch._limits import SlidingWindowRetryBudget
 from standins.platform_upstream import make_answer, make_stream_script, write_stream
-from tests.platform_world import PLAIN_PATH, STREAM_PATH, make_routes, wait_until
+from tests.platform_world import (
+    PLAIN_PATH,
+    SIZED_PATH,
+    STREAM_PATH,
+    Caller,
+    make_routes,
+    wait_until,
+)
 
 EVENT_COUNT = 4
 PAUSE_S = 0.9
@@ -170,6 +177,20 @@
     assert sum(len(upstream.requests) for upstream in upstreams) == 1
 
 
+def test_response_is_not_discarded_for_a_larger_model_without_an_upstream(world):
+    def leave_and_answer(request, write):
+        address = world.upstreams["i-1"].address
+        world.list_upstream("i-1", "engines", address, state="draining")
+        wait_until(lambda: not process.view.list_upstreams("engines"))
+        script = make_stream_script(last=EVENT_COUNT, extra=[("x-confidence", "5")])
+        return script(request, write)
+
+    add_engines(world, leave_and_answer)
+    process = world.add_instance()
+    fields = {"x_model": "*", "x_token_counts": "1000,400"}
+    assert_whole(Caller(process).send(SIZED_PATH, "POST", b"x", **fields))
+
+
 def test_refused_connection_does_not_use_up_the_retry_of_a_broken_stream(
     world, caller, limit_retries
 ):
