The next upstream is connected before an attempt is given up

What callers saw: a stream at the stall limit, or a small model's response, was let go with a retry in hand, and the only upstream left refused the connection: cut off, or 502.

It is now the retry, the upstream and an open connection to it. The budget is looked at before the connection is opened and used after, so a failed reservation costs nothing. What the new upstream answers is not known before: one that then turns the request away still leaves the call to its next reservation.

Two tests failed before: test_stalled_stream_is_not_cut_off_if_the_other_upstream_refuses_ connections, test_response_is_not_discarded_for_a_larger_model_that_refuses_connections.

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -57,7 +57,8 @@
     versions = VersionChooser(generator)
     chooser = UpstreamChooser(view, versions, placer, warm_up, generator)
     retry_budgets = _build_budgets(settings.retries, view)
-    retry_reserver = RetryReserver(chooser, retry_budgets, read_clock)
+    prober = Prober(pool, loads, view, crash_detector.record_connection_refused)
+    retry_reserver = RetryReserver(chooser, retry_budgets, pool, prober, read_clock)
     reader = PatientReader(
         ReachabilityChecker(pool, view, read_clock), retry_reserver, read_clock
     )
@@ -75,7 +76,7 @@
             pool, loads, prefill_rates, read_clock, load_exchange, reader
         ),
         reader=reader,
-        prober=Prober(pool, loads, view, crash_detector.record_connection_refused),
+        prober=prober,
         retry_budgets=retry_budgets,
         retry_reserver=retry_reserver,
         load_exchange=load_exchange,
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -65,8 +65,8 @@
         self._load_exchange = load_exchange
         self._reader = reader
 
-    def send(self, call, upstream, placement_request, estimate, until):
-        """Return the :class:`Attempt` of sending *call* to *upstream*.
+    def send(self, call, choice, placement_request, estimate, until):
+        """Return the :class:`Attempt` of sending *call* to the upstream of *choice*.
 
         *estimate* is the expected work there. *until* is the time on the boot clock at
         which waiting for the response head ends.
@@ -74,8 +74,9 @@
         Raises :class:`ConnectFailed` or :class:`NotRun` if the request has not run, and
         :class:`ConnectionBroken` if it may have run.
         """
+        upstream = choice.upstream
         load = self._loads.get(upstream)
-        connection = self._pool.acquire(
+        connection = choice.connection or self._pool.acquire(
             upstream.start, upstream.address, CONNECT_TIMEOUT_S
         )
         started_at = self._read_clock()
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -19,8 +19,9 @@
     from further attempts, *sent_starts* of those that count towards the route's limit.
     *may_have_run* is set once an upstream may have started the request.
     *retry_reserved* is set if the next attempt has already been taken from the retry
-    budget. *run* is the record of the current attempt, used to find requests that crash
-    upstreams. *reasons* lists why attempts were repeated or denied.
+    budget, *reserved_choice* once an upstream is connected for it. *run* is the record
+    of the current attempt, used to find requests that crash upstreams. *reasons* lists
+    why attempts were repeated or denied.
 
     *confidence* and *slowdown* are the inputs of the latest decision on whether to
     escalate to a larger model.
@@ -41,6 +42,7 @@
     send_count: int = 0
     may_have_run: bool = False
     retry_reserved: bool = False
+    reserved_choice: object | None = None
     run: Run | None = None
     reasons: list[str] = field(default_factory=list)
     last_event_id: int | None = None
@@ -53,6 +55,17 @@
     confidence: float | None = None
     slowdown: float | None = None
 
+    def take_reserved_choice(self):
+        """Return and clear *reserved_choice*."""
+        choice, self.reserved_choice = self.reserved_choice, None
+        return choice
+
+    def drop_reserved_choice(self):
+        """Close the connection of *reserved_choice*, if there is one."""
+        choice = self.take_reserved_choice()
+        if choice is not None:
+            choice.connection.close()
+
     def get_remaining_s(self, now):
         """Return the seconds until the deadline."""
         return self.deadline - now
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -17,11 +17,13 @@
 class Choice:
     """The selected upstream.
 
-    *alternative_count* is how many other upstreams have not been tried.
+    *alternative_count* is how many other upstreams have not been tried. *connection* is
+    an open connection to the upstream, or None.
     """
 
     upstream: Upstream
     alternative_count: int
+    connection: object | None = None
 
 
 class UpstreamChooser:
@@ -57,10 +59,7 @@
         allowed = self.filter_by_warm_up(untried, now)
         candidates = self._list_candidates(call, listed, allowed)
         if candidates:
-            placement_request = PlacementRequest(call.headers.prompt, call.model)
-            upstream = self._placer.pick(candidates, placement_request, now)
-            self._warm_up.record_sent(upstream, now)
-            return Choice(upstream, len(untried) - 1)
+            return self._place(call, candidates, len(untried) - 1, now)
         if len(allowed) < len(untried):
             detail = (
                 f"{len(untried) - len(allowed)} of {len(untried)} upstreams are cold"
@@ -69,17 +68,26 @@
         detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
         raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
 
-    def has_candidate(self, call, now, excluded_start=None):
-        """Return whether a reachable upstream can be chosen for the next attempt.
+    def choose_reachable(self, call, excluded_starts, now):
+        """Return the :class:`Choice` of a reachable upstream, or None.
 
-        The one of *excluded_start* does not count.
+        Those of *excluded_starts* are not chosen.
         """
         listed = self._view.list_upstreams(call.service)
-        excluded = call.tried_starts | {excluded_start}
+        excluded = call.tried_starts | excluded_starts
         untried = [u for u in listed if u.start not in excluded]
         reachable = self._placer.list_reachable(untried)
         allowed = self.filter_by_warm_up(reachable, now)
-        return bool(self._list_candidates(call, listed, allowed))
+        candidates = self._list_candidates(call, listed, allowed)
+        if not candidates:
+            return None
+        return self._place(call, candidates, len(untried) - 1, now)
+
+    def _place(self, call, candidates, alternative_count, now):
+        placement_request = PlacementRequest(call.headers.prompt, call.model)
+        upstream = self._placer.pick(candidates, placement_request, now)
+        self._warm_up.record_sent(upstream, now)
+        return Choice(upstream, alternative_count)
 
     def _list_candidates(self, call, listed, allowed):
         """Return those of *allowed* that have a version for *call*.
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -60,8 +60,11 @@
         if call.route.models and call.model is None:
             call.model = parts.cascade.choose_first(call.route)
         parts.retry_budgets.get(call.service).record_first_attempt(self._read_clock())
-        while not self._send_once(call, connection):
-            pass
+        try:
+            while not self._send_once(call, connection):
+                pass
+        finally:
+            call.drop_reserved_choice()
 
     def _send_once(self, call, connection):
         """Make one attempt and return whether the call is answered."""
@@ -114,7 +117,8 @@
             call.reasons.append(str(RetryDenial.ATTEMPT_LIMIT))
             raise self._build_exhausted_error(call, now)
         try:
-            choice = self._parts.chooser.choose_upstream(call, now)
+            choice = call.take_reserved_choice()
+            choice = choice or self._parts.chooser.choose_upstream(call, now)
         except RequestRefused as error:
             call.reasons.append(str(error.kind))
             if call.may_have_run:
@@ -166,7 +170,7 @@
             _log_long_prompt(call, upstream, estimate)
         try:
             attempt = parts.attempt_sender.send(
-                call, upstream, placement_request, estimate, give_up_at
+                call, choice, placement_request, estimate, give_up_at
             )
         except (ConnectFailed, NotRun):
             call.may_have_run = may_have_run_before
--- a/src/merlinnotch/_gateway/retry_reservation.py
+++ b/src/merlinnotch/_gateway/retry_reservation.py
@@ -1,7 +1,14 @@
 """Reservation of further attempts."""
 
+import dataclasses
 import enum
 
+from .._errors import ConnectFailed
+from .attempt import CONNECT_TIMEOUT_S
+
+MAX_CONNECTS = 2
+"""Upstreams that are tried for one reservation. Meanwhile nothing is relayed."""
+
 
 class RetryDenial(enum.StrEnum):
     """Why a call gets no further attempt, as logged in ``reasons``."""
@@ -12,15 +19,17 @@
 
 
 class RetryReserver:
-    """Takes the next attempt of a call from the retry budget in advance.
+    """Secures the next attempt of a call: its retry, an upstream and a connection.
 
     Without a reservation, an attempt that is given up may turn out to be the last one
     that the call could get.
     """
 
-    def __init__(self, chooser, retry_budgets, read_clock):
+    def __init__(self, chooser, retry_budgets, pool, prober, read_clock):
         self._chooser = chooser
         self._retry_budgets = retry_budgets
+        self._pool = pool
+        self._prober = prober
         self._read_clock = read_clock
 
     def try_reserve(self, call, excluded_start=None, min_remaining=0.0):
@@ -33,10 +42,38 @@
         """
         if len(call.sent_starts) >= call.route.max_upstreams:
             return RetryDenial.ATTEMPT_LIMIT
+        budget = self._retry_budgets.get(call.service)
         now = self._read_clock()
-        if not self._chooser.has_candidate(call, now, excluded_start):
+        if not call.retry_reserved and not budget.can_acquire(now, min_remaining):
+            return RetryDenial.NO_BUDGET
+        choice = self._connect(call, excluded_start)
+        if choice is None:
             return RetryDenial.NO_UPSTREAM
-        if not call.retry_reserved:
-            budget = self._retry_budgets.get(call.service)
-            call.retry_reserved = budget.try_acquire(now, min_remaining)
-        return None if call.retry_reserved else RetryDenial.NO_BUDGET
+        # The budget may have been used while the connection was opened.
+        now = self._read_clock()
+        if not call.retry_reserved and not budget.try_acquire(now, min_remaining):
+            choice.connection.close()
+            return RetryDenial.NO_BUDGET
+        call.retry_reserved = True
+        call.reserved_choice = choice
+        return None
+
+    def _connect(self, call, excluded_start):
+        """Return a :class:`Choice` with its connection, or None."""
+        excluded_starts = {excluded_start}
+        for _ in range(MAX_CONNECTS):
+            now = self._read_clock()
+            choice = self._chooser.choose_reachable(call, excluded_starts, now)
+            if choice is None:
+                return None
+            upstream = choice.upstream
+            try:
+                connection = self._pool.acquire(
+                    upstream.start, upstream.address, CONNECT_TIMEOUT_S
+                )
+            except ConnectFailed:
+                self._prober.mark_unreachable(upstream)
+                excluded_starts.add(upstream.start)
+                continue
+            return dataclasses.replace(choice, connection=connection)
+        return None
--- a/src/merlinnotch/_limits/sliding_window.py
+++ b/src/merlinnotch/_limits/sliding_window.py
@@ -24,11 +24,15 @@
         self._drop_expired(now)
         self._first_attempts.append(now)
 
-    def try_acquire(self, now, min_remaining=0.0):
-        """Count a retry if *min_remaining* more are allowed; return whether it was."""
+    def can_acquire(self, now, min_remaining=0.0):
+        """Return whether a retry is allowed now, and *min_remaining* more."""
         self._drop_expired(now)
         max_retries = self._ratio * len(self._first_attempts) + self._reserve
-        if len(self._retries) + 1 + min_remaining > max_retries:
+        return len(self._retries) + 1 + min_remaining <= max_retries
+
+    def try_acquire(self, now, min_remaining=0.0):
+        """Count a retry if *min_remaining* more are allowed; return whether it was."""
+        if not self.can_acquire(now, min_remaining):
             return False
         self._retries.append(now)
         return True
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -191,6 +191,40 @@
     assert_whole(Caller(process).send(SIZED_PATH, "POST", b"x", **fields))
 
 
+def add_closed_engine(world, process, upstream_id="i-2"):
+    """Add an engine that refuses connections, and wait until it is listed."""
+    script = make_stream_script(last=EVENT_COUNT)
+    upstream = world.add_upstream(upstream_id, script, service="engines")
+    upstream.close()
+    wait_until(lambda: process.view.find_upstream(upstream_id))
+    return upstream
+
+
+def test_stalled_stream_is_not_cut_off_if_the_other_upstream_refuses_connections(
+    world, caller, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 0.4)
+
+    def pause_beside_closed_engine(request, write):
+        add_closed_engine(world, world.instances[0])
+        return pause_after_first_event(request, write)
+
+    answer, _ = send_stream(caller, add_engines(world, pause_beside_closed_engine))
+    assert_whole(answer)
+
+
+def test_response_is_not_discarded_for_a_larger_model_that_refuses_connections(world):
+    def refuse_further_connections(request, write):
+        world.upstreams["i-1"].close()
+        script = make_stream_script(last=EVENT_COUNT, extra=[("x-confidence", "5")])
+        return script(request, write)
+
+    add_engines(world, refuse_further_connections)
+    process = world.add_instance()
+    fields = {"x_model": "*", "x_token_counts": "1000,400"}
+    assert_whole(Caller(process).send(SIZED_PATH, "POST", b"x", **fields))
+
+
 def test_refused_connection_does_not_use_up_the_retry_of_a_broken_stream(
     world, caller, limit_retries
 ):
