Data that arrives during the check of a silent upstream is read

What callers saw: a stream whose pause ended while the instance opened connections, up to 0.4 s, was closed all the same and begun anew elsewhere, or cut off. Cause: the attempt was ended without one more look at its connection.

test_stream_that_goes_on_during_the_check_is_not_interrupted failed before.

--- a/src/merlinnotch/_gateway/patience.py
+++ b/src/merlinnotch/_gateway/patience.py
@@ -7,6 +7,10 @@
 
 logger = logging.getLogger("merlinnotch")
 
+LAST_READ_S = 0.001
+"""Wait of the last read before an attempt is ended. It returns what has arrived while
+connections were opened."""
+
 
 class PatientReader:
     """Reads responses, and ends attempts at upstreams that have fallen silent.
@@ -42,34 +46,46 @@
                 return read_until(read_next, deadline)
             try:
                 return read_next(next_check_at)
-            except ConnectionTimedOut as error:
-                is_kept = self._end_or_keep(call, upstream, limit, is_kept, error)
+            except ConnectionTimedOut:
+                reached = self._find_reached_limit(upstream, limit)
+            if reached is None:
+                continue
+            denial = self._retry_reserver.try_reserve(call, upstream.start)
+            if denial is None or self._is_lost(upstream, limit):
+                return self._read_last(call, read_next, reached)
+            if not is_kept:
+                _log_kept(call, upstream, reached, denial)
+            is_kept = True
 
     def _compute_next_check(self, check_interval_s, limit):
         now = self._read_clock()
         next_check_at = now + check_interval_s
         return min(next_check_at, limit.at) if limit.at > now else next_check_at
 
-    def _end_or_keep(self, call, upstream, limit, was_kept, error):
-        """Raise :class:`ReadLimitReached`, or return whether the limit was ignored."""
-        is_late = self._read_clock() >= limit.at
-        reached = ReadLimitReached(limit.kind) if is_late else self._check(upstream)
-        if reached is None:
-            return was_kept
-        denial = self._retry_reserver.try_reserve(call, upstream.start)
-        if denial is None or (is_late and self._check(upstream) is not None):
-            raise reached from error
-        if not was_kept:
-            _log_kept(call, upstream, reached, denial)
-        return True
-
-    def _check(self, upstream):
-        """Return the :class:`ReadLimitReached` for an unreachable upstream, or None."""
+    def _find_reached_limit(self, upstream, limit):
+        """Return the :class:`ReadLimitReached` for a silent upstream, or None."""
+        if self._read_clock() >= limit.at:
+            return ReadLimitReached(limit.kind)
         check = self._reachability_checker.check(upstream)
         if check.is_reachable:
             return None
         return ReadLimitReached(LimitKind.UNREACHABLE, check.detail)
 
+    def _is_lost(self, upstream, limit):
+        """Return whether no answer is to be expected any more."""
+        if self._read_clock() < limit.at:
+            return False
+        return not self._reachability_checker.check(upstream).is_reachable
+
+    def _read_last(self, call, read_next, reached):
+        """Return what has arrived meanwhile, or raise *reached*."""
+        try:
+            data = read_next(self._read_clock() + LAST_READ_S)
+        except ConnectionTimedOut as error:
+            raise reached from error
+        call.drop_reserved_choice()
+        return data
+
 
 def _log_kept(call, upstream, reached, denial):
     fields = {
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -139,6 +139,38 @@
     assert request_count == 1
 
 
+def test_stream_that_goes_on_during_the_check_is_not_interrupted(
+    world, caller, monkeypatch
+):
+    acquire = UpstreamPool.acquire
+
+    def time_out(pool, start, address, connect_timeout_s, force_new=False):
+        if not force_new:
+            return acquire(pool, start, address, connect_timeout_s)
+        wait_until(lambda: len(written) == 2)
+        raise ConnectFailed("timed out")
+
+    written = []
+
+    def go_on_during_check(request, write):
+        def write_slowly(data):
+            write(data)
+            if b"id: 1\n" in data:
+                written.append(1)
+                eventlet.sleep(0.5)
+            elif b"id: 2\n" in data:
+                written.append(2)
+
+        events = [encode_event(number) for number in range(1, EVENT_COUNT + 1)]
+        return write_stream(request, write_slowly, events)
+
+    monkeypatch.setattr(UpstreamPool, "acquire", time_out)
+    scripts = [go_on_during_check, go_on_during_check]
+    answer, request_count = send_stream(caller, add_engines(world, *scripts))
+    assert_whole(answer)
+    assert request_count == 1
+
+
 def test_stream_is_not_cut_off_without_another_upstream(
     world, caller, block_new_connections
 ):
