A silent upstream that refuses connections and has left the list has ended

A listed upstream renews its entry, so its process lives and it may be busy: its streams are kept. One that has left the list, refuses connections and has been silent past the limit is given up, so that callers can retry.

test_stalled_stream_of_a_removed_upstream_is_not_held_until_the_deadline failed before.

--- a/src/merlinnotch/_gateway/patience.py
+++ b/src/merlinnotch/_gateway/patience.py
@@ -33,8 +33,8 @@
         Raises :class:`ReadLimitReached` at the deadline of *call*. If another attempt
         could be reserved, also at the :class:`ReadLimit` *limit*, or after a period of
         *check_interval_s* seconds without data if *upstream* is then unreachable.
-        Without a reservation it is raised if *upstream* is unreachable at *limit*, so
-        that the caller can retry.
+        Without a reservation it is raised if *upstream* seems to have ended at *limit*,
+        so that the caller can retry.
         """
         deadline = ReadLimit(call.deadline, LimitKind.DEADLINE)
         if not call.is_retryable:
@@ -51,7 +51,7 @@
             if reached is None:
                 continue
             denial = self._retry_reserver.try_reserve(call, upstream.start)
-            if denial is None or self._is_lost(upstream, limit):
+            if denial is None or self._has_ended(upstream, limit):
                 return self._read_last(call, read_next, reached)
             if not is_kept:
                 _log_kept(call, upstream, reached, denial)
@@ -71,11 +71,9 @@
             return None
         return ReadLimitReached(LimitKind.UNREACHABLE, check.detail)
 
-    def _is_lost(self, upstream, limit):
-        """Return whether no answer is to be expected any more."""
-        if self._read_clock() < limit.at:
-            return False
-        return not self._reachability_checker.check(upstream).is_reachable
+    def _has_ended(self, upstream, limit):
+        is_late = self._read_clock() >= limit.at
+        return is_late and self._reachability_checker.has_ended(upstream)
 
     def _read_last(self, call, read_next, reached):
         """Return what has arrived meanwhile, or raise *reached*."""
--- a/src/merlinnotch/_gateway/reachability.py
+++ b/src/merlinnotch/_gateway/reachability.py
@@ -17,11 +17,15 @@
 
 @dataclass(frozen=True)
 class CheckResult:
-    """Whether an upstream was reachable at *checked_at*; *detail* says why not."""
+    """Whether an upstream was reachable at *checked_at*; *detail* says why not.
+
+    *is_refused* is set if it was reachable, but refused the new connection.
+    """
 
     checked_at: float
     is_reachable: bool
     detail: str = ""
+    is_refused: bool = False
 
 
 class ReachabilityChecker:
@@ -31,8 +35,9 @@
     engine. A new connection distinguishes the two without load on the engine, and early
     enough to continue the stream on another upstream within its latency goal.
 
-    A refused connection shows that the host answers. The upstream is then at its
-    connection limit: if its process had ended, the open connection would be reset.
+    A refused connection shows that the host answers. The upstream is then leaving or at
+    its connection limit: if its process had ended, the open connection would be reset,
+    unless the host was restarted.
     """
 
     def __init__(self, pool, view, read_clock):
@@ -54,6 +59,16 @@
             self._results[upstream.start] = result
         return result
 
+    def has_ended(self, upstream):
+        """Return whether no further data is to be expected from a silent *upstream*.
+
+        It is then unreachable, or has left the list and refuses connections.
+        """
+        result = self.check(upstream)
+        if not result.is_reachable:
+            return True
+        return result.is_refused and self._view.find_start(upstream.start) is None
+
     def _connect(self, upstream):
         failures = []
         for _ in range(CONNECT_ATTEMPTS):
@@ -62,7 +77,7 @@
                     upstream.start, upstream.address, CONNECT_TIMEOUT_S, force_new=True
                 )
             except ConnectRefused:
-                return CheckResult(self._read_clock(), True)
+                return CheckResult(self._read_clock(), True, is_refused=True)
             except ConnectFailed as error:
                 failures.append(str(error))
                 continue
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -292,6 +292,21 @@
     assert not answer.is_complete
 
 
+def test_stalled_stream_of_a_removed_upstream_is_not_held_until_the_deadline(
+    world, caller, block_new_connections, limit_retries, monkeypatch
+):
+    monkeypatch.setattr("merlinnotch._gateway.stream.MIN_STALL_S", 0.4)
+    block_new_connections(ConnectRefused("nothing listens"))
+    limit_retries(0)
+    (upstream,) = add_engines(world, fall_silent)
+    answers = []
+    eventlet.spawn(lambda: answers.append(send_stream(caller, [])[0]))
+    wait_until(lambda: upstream.requests)
+    world.store.delete("servers/i-1")
+    wait_until(lambda: answers, 3.0)
+    assert not answers[0].is_complete
+
+
 def test_stream_of_unreachable_upstream_is_resumed_on_another(
     world, caller, block_new_connections, monkeypatch
 ):
