An upstream's error response is discarded only if another attempt is reserved

What callers saw: 502 in place of the upstream's own 500 when a failed response was to be retried and the retry budget or the upstreams were used up. Found by a review.

test_error_response_is_not_discarded_without_retry_budget failed before (502).

--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -195,7 +195,7 @@
             raise ConnectionBroken("response body has a content encoding")
         failed = attempt.head.status >= SERVER_ERROR
         self._results.record_response(call, attempt, failed)
-        if failed and self._may_retry(call):
+        if failed and self._reserve_retry(call, attempt.upstream):
             call.tried_starts.add(attempt.upstream.start)
             self._record_failed_send(
                 call, attempt.upstream, "failed", f"status {attempt.head.status}"
@@ -235,12 +235,14 @@
         self._results.record_response(call, attempt, failed=False)
         return True
 
-    def _may_retry(self, call):
-        return (
-            call.is_retryable
-            and len(call.sent_starts) < call.route.max_upstreams
-            and call.get_remaining_s(self._read_clock()) > MIN_REMAINING_S
-        )
+    def _reserve_retry(self, call, upstream):
+        """Return whether another attempt has been reserved in place of a response."""
+        if not call.is_retryable:
+            return False
+        if call.get_remaining_s(self._read_clock()) <= MIN_REMAINING_S:
+            return False
+        denial = self._parts.retry_reserver.try_reserve(call, upstream.start)
+        return denial is None
 
     def _exclude_from_limit(self, call, upstream):
         # A request that was not run doesn't count towards the route's limit.
--- a/tests/gateway/test_abandoned_attempts.py
+++ b/tests/gateway/test_abandoned_attempts.py
@@ -6,7 +6,12 @@
 from merlinnotch._errors import ConnectFailed, ConnectRefused
 from merlinnotch._http import UpstreamPool
 from merlinnotch._limits import SlidingWindowRetryBudget
-from standins.platform_upstream import make_answer, make_stream_script, write_stream
+from standins.platform_upstream import (
+    make_answer,
+    make_answer_script,
+    make_stream_script,
+    write_stream,
+)
 from tests.platform_world import (
     PLAIN_PATH,
     SIZED_PATH,
@@ -257,6 +262,16 @@
     assert_whole(Caller(process).send(SIZED_PATH, "POST", b"x", **fields))
 
 
+def test_error_response_is_not_discarded_without_retry_budget(
+    world, caller, limit_retries
+):
+    limit_retries(0)
+    for upstream_id in ("i-1", "i-2"):
+        world.add_upstream(upstream_id, make_answer_script(b"why", status=500))
+    answer = caller.send(PLAIN_PATH)
+    assert (answer.status, answer.body) == (500, b"why")
+
+
 def test_refused_connection_does_not_use_up_the_retry_of_a_broken_stream(
     world, caller, limit_retries
 ):
