A stopping instance does not close a connection on which a request is arriving

What callers saw: their connection was closed without an answer when the instance was asked to stop between the head of a request and the end of its body, even after it had sent 100 Continue.

Cause: a connection counted as idle until its whole request had been read. It is idle now until the first byte, and the stop waits for requests that are arriving.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -166,7 +166,7 @@
         eventlet.sleep(BALANCER_REMOVAL_S)
         self.gateway.refuse_longer_than(deadline)
         self.gateway.close_idle()
-        while self.gateway.in_flight and read_clock() < deadline:
+        while self.gateway.is_busy and read_clock() < deadline:
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
             self.gateway.close_idle()
         self.gateway.close()
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -42,7 +42,7 @@
         self._metrics = parts.metrics
         self._read_clock = parts.read_clock
         self._generator = generator
-        self._idle_connections = set()
+        self._waiting_connections = set()
         self.is_shutting_down = False
         self._shutdown_at = None
         self.in_flight = 0
@@ -62,9 +62,17 @@
         self._shutdown_at = until
 
     def close_idle(self):
-        """Close the connections without a request in progress."""
-        for connection in list(self._idle_connections):
-            connection.shut_down()
+        """Close the connections on which no request has begun to arrive."""
+        for connection in list(self._waiting_connections):
+            if connection.is_idle:
+                connection.shut_down()
+
+    @property
+    def is_busy(self):
+        """Whether requests are in progress or arriving."""
+        return bool(self.in_flight) or any(
+            not connection.is_idle for connection in self._waiting_connections
+        )
 
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
@@ -84,15 +92,15 @@
         except TransportError as error:
             logger.debug("connection ended", extra={"detail": str(error)})
         finally:
-            self._idle_connections.discard(connection)
+            self._waiting_connections.discard(connection)
             connection.close()
 
     def _serve_one(self, connection):
         configuration = self._view.configuration
         limits = configuration.limits if configuration else CallerLimits()
-        self._idle_connections.add(connection)
+        self._waiting_connections.add(connection)
         request = connection.read_request(limits, limits.idle_timeout_s)
-        self._idle_connections.discard(connection)
+        self._waiting_connections.discard(connection)
         if request is None:
             return False
         self.in_flight += 1
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -45,6 +45,7 @@
     """Reads requests one after the other and writes their responses.
 
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
+    *is_idle* is set while nothing of the next request has arrived.
     """
 
     def __init__(self, sock, read_clock, write_timeout_s):
@@ -57,6 +58,7 @@
         self._is_broken = False
         self.keep_alive = True
         self.response_started = False
+        self.is_idle = True
 
     def read_request(self, limits, idle_timeout_s):
         """Return the next request, or None at the end of the connection.
@@ -65,10 +67,12 @@
         :class:`MalformedMessage` if the request must not be forwarded and
         :class:`ConnectionBroken` if the connection fails or a wait times out.
         """
+        self.is_idle = not self._buffer
         if not self._buffer:
             self._buffer = self._receive(idle_timeout_s)
             if not self._buffer:
                 return None
+        self.is_idle = False
         received_at = self._read_clock()
         head_end = self._read_head(limits, received_at + limits.header_timeout_s)
         check_raw_head(self._buffer[:head_end])
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -23,6 +23,7 @@
 STREAM_PATH = "/stream/"
 SIZED_PATH = "/sized/"
 WAIT_S = 5.0
+POLL_S = 0.01
 PORTS = PortPicker()
 
 
@@ -247,4 +248,4 @@
     """Wait until *condition* holds; raises TimeoutError after *wait_s* seconds."""
     with eventlet.Timeout(wait_s, TimeoutError("condition not met in time")):
         while not condition():
-            eventlet.sleep(0.01)
+            eventlet.sleep(POLL_S)
