Requests that the end of the grace period meets are refused and logged

What callers saw: a request whose response had not begun got no answer at all when the grace period of its instance ended; its connection was closed with the process. Operators saw 'cut: 3' and no line on any of the three: what had happened to them was lost.

Cause: the process exited under its requests. It now ends each one itself: 502 (503 if it can't have run), or the connection closed within a response that has begun, and a line 'request ended' with the reasons so far.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -38,6 +38,9 @@
 EXIT_RESERVE_S = 0.6
 """Part of the grace period reserved for closing connections and exiting."""
 DRAIN_POLL_INTERVAL_S = 0.05
+MAX_END_S = 0.3
+"""Part of that reserve in which the requests in progress are refused or cut off."""
+END_POLL_INTERVAL_S = 0.01
 OK = 200
 NOT_READY = 503
 
@@ -170,8 +173,11 @@
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
             self.gateway.close_idle()
         self.gateway.close()
-        fields = {"cut": self.gateway.in_flight}
-        logger.info("stopped", extra=fields)
+        cut = self.gateway.in_flight
+        self.gateway.end_requests()
+        while self.gateway.in_flight and read_clock() < deadline + MAX_END_S:
+            eventlet.sleep(END_POLL_INTERVAL_S)
+        logger.info("stopped", extra={"cut": cut})
 
     def stop(self):
         """Stop all tasks and listeners without waiting for requests in progress."""
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -43,6 +43,7 @@
         self._read_clock = parts.read_clock
         self._generator = generator
         self._waiting_connections = set()
+        self._interrupters = set()
         self.is_shutting_down = False
         self._shutdown_at = None
         self.in_flight = 0
@@ -74,6 +75,11 @@
             not connection.is_idle for connection in self._waiting_connections
         )
 
+    def end_requests(self):
+        """Refuse or cut off the requests in progress, as the process ends."""
+        for interrupter in list(self._interrupters):
+            interrupter.interrupt(_build_stop_error(interrupter.call))
+
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
         until = self._read_clock() + READY_TIMEOUT_S
@@ -119,7 +125,7 @@
         try:
             call = admit_request(request, self._view)
             self._check_shutdown(call)
-            with _DisconnectWatch(connection):
+            with _Interrupter(call, connection, self._interrupters):
                 self._forwarder.forward(call, connection)
             self._record_end(request, call, "answered")
         except CallerDisconnected:
@@ -165,28 +171,45 @@
         logger.info("request ended", extra=fields)
 
 
-class _DisconnectWatch:
-    """Raises :class:`CallerDisconnected` in its green thread on a disconnect."""
+class _Interrupter:
+    """Ends a call by raising an error in its green thread.
+
+    This is :class:`CallerDisconnected` if the caller disconnects. While the call is in
+    progress, the interrupter is in *interrupters*.
+    """
 
-    def __init__(self, connection):
+    def __init__(self, call, connection, interrupters):
+        self.call = call
         self._connection = connection
+        self._interrupters = interrupters
         self._thread = eventlet.getcurrent()
-        self._active = False
 
     def __enter__(self):
-        self._active = True
-        self._connection.watch_disconnect(self._on_disconnect)
+        self._interrupters.add(self)
+        self._connection.watch_disconnect(self._handle_disconnect)
 
     def __exit__(self, *exc_info):
-        self._active = False
+        self._interrupters.discard(self)
+
+    def interrupt(self, error):
+        """Raise *error* in the call, unless it ends before."""
+        eventlet.hubs.get_hub().schedule_call_global(0, self._throw, error)
+
+    def _handle_disconnect(self):
+        self.interrupt(CallerDisconnected("caller closed its connection"))
+
+    def _throw(self, error):
+        if self in self._interrupters:
+            self._thread.throw(error)
 
-    def _on_disconnect(self):
-        hub = eventlet.hubs.get_hub()
-        hub.schedule_call_global(0, self._throw)
 
-    def _throw(self):
-        if self._active:
-            self._thread.throw(CallerDisconnected("caller closed its connection"))
+def _build_stop_error(call):
+    """Return the :class:`RequestRefused` for a call that the process can't finish."""
+    outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+    detail = ", ".join([*call.reasons, "grace period ended"])
+    return RequestRefused(
+        ErrorKind.SHUTTING_DOWN, detail, outcome, retry_after_s=RESTART_DURATION_S
+    )
 
 
 def _build_log_fields(request, call):
