Failing tests: notices of upstreams that leave or ask for rest

All 25 cases of tests/gateway/test_notices.py fail on the code as it is:

- an upstream that said in a response that it leaves, while the store can't be reached, got 7 requests instead of 1 (idempotent, once and stream; also where the response was a refusal or had a malformed load header), and the larger model ran on it;
- one that answered 503 with Retry-After: 3 got 6 or 7 requests at once instead of 1, whether the request may have run or not, and the attempt counted as "not run";
- with all upstreams resting callers got no_upstream, with a Retry-After of half a second, after each of the upstreams had been asked again;
- with all upstreams leaving the request was sent to one of them;
- a Retry-After that can't be used is never told.

--- /dev/null
+++ b/tests/gateway/test_notices.py
@@ -0,0 +1,294 @@
+"""Upstreams that announce in their responses that they leave or need a rest."""
+
+import json
+import logging
+from dataclasses import dataclass
+
+import eventlet
+import pytest
+
+from merlinnotch._entry.clock import read_clock
+from standins.platform_upstream import (
+    make_answer,
+    make_answer_script,
+    make_stream_script,
+)
+from tests.platform_world import (
+    ONCE_PATH,
+    PLAIN_PATH,
+    SIZED_PATH,
+    STREAM_PATH,
+    wait_until,
+)
+
+LEAVING = ("server-leaving", "1")
+NOT_RUN = ("x-not-executed", "1")
+REST_S = 3.0
+LATER_REQUESTS = 6
+MAX_REFUSAL_S = 0.3
+SLOW_S = 0.03
+"""Extra latency of an upstream, so that placement prefers the others."""
+
+
+@dataclass(frozen=True)
+class RouteCase:
+    """A kind of route: its path and service, and a script that answers there."""
+
+    path: str
+    service: str
+    make_script: object
+
+
+ROUTE_CASES = {
+    "idempotent": RouteCase(PLAIN_PATH, "app", make_answer_script),
+    "once": RouteCase(ONCE_PATH, "app", make_answer_script),
+    "stream": RouteCase(STREAM_PATH, "engines", make_stream_script),
+}
+
+
+@pytest.fixture(params=ROUTE_CASES.values(), ids=ROUTE_CASES.keys())
+def route_case(request):
+    """Return a :class:`RouteCase`; the test runs once for each."""
+    return request.param
+
+
+def make_slow(script):
+    def slow_script(request, write):
+        eventlet.sleep(SLOW_S)
+        return script(request, write)
+
+    return slow_script
+
+
+def make_resting_script(rest=f"{REST_S:g}", extra=(NOT_RUN,)):
+    """Return a script that answers 503 and asks for a rest."""
+    return make_answer_script(b"", 503, [*extra, ("retry-after", rest)])
+
+
+def add_pair(world, route_case, first_script):
+    """Add i-1 with *first_script* and a slower i-2; return both, listed."""
+    first = world.add_upstream("i-1", first_script, route_case.service)
+    second_script = make_slow(route_case.make_script())
+    second = world.add_upstream("i-2", second_script, route_case.service)
+    wait_for_listing(world, route_case.service, 2)
+    return first, second
+
+
+def wait_for_listing(world, service, count):
+    if not world.instances:
+        world.add_instance()
+    view = world.instances[0].view
+    wait_until(lambda: len(view.list_upstreams(service)) == count)
+
+
+def send(caller, path, **fields):
+    return caller.send(path, "POST", b"x", **fields)
+
+
+def send_until_reached(caller, path, *upstreams):
+    """Send requests until each of *upstreams* got one; return the responses."""
+    responses = []
+    while not all(upstream.requests for upstream in upstreams):
+        assert len(responses) < 10
+        responses.append(send(caller, path))
+    return responses
+
+
+def forget_failures(world, upstream_id):
+    """Drop the load of an upstream, as its failures alone would keep requests away."""
+    process = world.instances[0]
+    process._loads.drop(process.view.find_upstream(upstream_id).start)
+
+
+def send_timed(caller, path, **fields):
+    """Return a response and the seconds that it took."""
+    started_at = read_clock()
+    response = send(caller, path, **fields)
+    return response, read_clock() - started_at
+
+
+def get_error(response):
+    return json.loads(response.body)["error"]
+
+
+def test_leaving_upstream_gets_no_requests_while_store_is_unreachable(
+    world, caller, route_case
+):
+    leaving, staying = add_pair(
+        world, route_case, route_case.make_script(extra=[LEAVING])
+    )
+    world.store.is_unresponsive = True
+    send_until_reached(caller, route_case.path, leaving)
+    served = len(staying.requests)
+    for _ in range(LATER_REQUESTS):
+        assert send(caller, route_case.path).status == 200
+    assert len(leaving.requests) == 1
+    assert len(staying.requests) == served + LATER_REQUESTS
+
+
+def test_leaving_notice_is_not_lost_with_a_malformed_load_header(world, caller):
+    extra = [LEAVING, ("x-server-load", "many,few,none")]
+    leaving, staying = add_pair(
+        world, ROUTE_CASES["idempotent"], make_answer_script(extra=extra)
+    )
+    world.store.is_unresponsive = True
+    send_until_reached(caller, PLAIN_PATH, leaving)
+    for _ in range(LATER_REQUESTS):
+        forget_failures(world, "i-1")
+        assert send(caller, PLAIN_PATH).status == 200
+    assert len(leaving.requests) == 1
+
+
+def test_leaving_notice_of_a_refusal_is_not_lost(world, caller):
+    refusal = make_answer_script(b"", 503, [NOT_RUN, LEAVING])
+    leaving, _ = add_pair(world, ROUTE_CASES["once"], refusal)
+    world.store.is_unresponsive = True
+    send_until_reached(caller, ONCE_PATH, leaving)
+    for _ in range(LATER_REQUESTS):
+        assert send(caller, ONCE_PATH).status == 200
+    assert len(leaving.requests) == 1
+
+
+def make_unsure_script(pairs):
+    """Return a script whose small model is unsure, with the fields *pairs*."""
+
+    def script(request, write):
+        is_small = request.fields.get("x-model") == "small"
+        confidence = ("x-confidence", "5" if is_small else "95")
+        return make_stream_script(last=2, extra=[confidence, *pairs])(request, write)
+
+    return script
+
+
+def test_larger_model_does_not_run_on_a_leaving_upstream(world, caller):
+    leaving = world.add_upstream("i-1", make_unsure_script([LEAVING]), "engines")
+    staying = world.add_upstream(
+        "i-2", make_unsure_script([]), "engines", zone="zone-b"
+    )
+    wait_for_listing(world, "engines", 2)
+    fields = {"x_model": "*", "x_token_counts": "1000,400"}
+    for _ in range(LATER_REQUESTS):
+        assert send(caller, SIZED_PATH, **fields).is_complete
+    assert len(leaving.requests) == 1
+    assert len(staying.requests) >= LATER_REQUESTS
+
+
+def test_unsure_answer_is_delivered_if_no_upstream_takes_the_larger_model(
+    world, caller
+):
+    upstream = world.add_upstream("i-1", make_unsure_script([LEAVING]), "engines")
+    response = send(caller, SIZED_PATH, x_model="*", x_token_counts="1000,400")
+    assert (response.status, response.is_complete) == (200, True)
+    assert len(upstream.requests) == 1
+
+
+def test_resting_upstream_gets_no_requests_and_others_take_the_load(
+    world, caller, route_case
+):
+    resting, other = add_pair(world, route_case, make_resting_script())
+    for response in send_until_reached(caller, route_case.path, resting):
+        assert response.status == 200
+    served = len(other.requests)
+    # Several requests at once, as a rest is asked for under load.
+    pool = eventlet.GreenPool()
+    responses = list(
+        pool.imap(lambda _: send(caller, route_case.path), range(LATER_REQUESTS))
+    )
+    assert [response.status for response in responses] == [200] * LATER_REQUESTS
+    assert len(resting.requests) == 1
+    assert len(other.requests) == served + LATER_REQUESTS
+
+
+def test_rest_of_a_503_that_may_have_run_is_not_forgotten(world, caller):
+    script = make_resting_script(extra=())
+    resting, _ = add_pair(world, ROUTE_CASES["idempotent"], script)
+    send_until_reached(caller, PLAIN_PATH, resting)
+    for _ in range(LATER_REQUESTS):
+        forget_failures(world, "i-1")
+        assert send(caller, PLAIN_PATH).status == 200
+    assert len(resting.requests) == 1
+
+
+def test_turned_away_attempt_is_not_counted_as_not_run(world, caller):
+    resting, _ = add_pair(world, ROUTE_CASES["once"], make_resting_script())
+    send_until_reached(caller, ONCE_PATH, resting)
+    retries = world.instances[0].metrics.retries
+    counts = {
+        reason: retries.labels(reason)._value.get() for reason in ("resting", "not run")
+    }
+    assert counts == {"resting": 1, "not run": 0}
+
+
+def test_callers_are_not_held_or_sent_early_while_all_upstreams_rest(
+    world, caller, route_case
+):
+    answered_at = []
+
+    def script(request, write):
+        answered_at.append(read_clock())
+        return make_resting_script()(request, write)
+
+    upstreams = [
+        world.add_upstream(upstream_id, script, route_case.service)
+        for upstream_id in ("i-1", "i-2")
+    ]
+    wait_for_listing(world, route_case.service, 2)
+    send(caller, route_case.path)
+    rest_ends_at = min(answered_at) + REST_S
+    for _ in range(LATER_REQUESTS):
+        response, took_s = send_timed(caller, route_case.path)
+        assert took_s < MAX_REFUSAL_S
+        assert (response.status, get_error(response)) == (503, "upstreams_resting")
+        retry_after_s = float(response.fields["retry-after"])
+        assert read_clock() + retry_after_s >= rest_ends_at
+        assert retry_after_s <= 2 * REST_S
+    assert [len(upstream.requests) for upstream in upstreams] == [1, 1]
+
+
+def test_rested_upstream_is_not_left_out_afterwards(world, caller):
+    is_resting = [True]
+
+    def script(request, write):
+        if is_resting.pop() if is_resting else False:
+            return make_resting_script("0.5")(request, write)
+        write(make_answer(request))
+        return True
+
+    world.add_upstream("i-1", script)
+    refusal = send(caller, PLAIN_PATH)
+    assert get_error(refusal) == "upstreams_resting"
+    eventlet.sleep(float(refusal.fields["retry-after"]))
+    assert send(caller, PLAIN_PATH).status == 200
+
+
+def test_callers_are_not_held_while_all_upstreams_leave(
+    world, caller, route_case, caplog
+):
+    caplog.set_level(logging.INFO, "merlinnotch")
+    script = route_case.make_script(extra=[LEAVING])
+    upstreams = [
+        world.add_upstream(upstream_id, script, route_case.service)
+        for upstream_id in ("i-1", "i-2")
+    ]
+    wait_for_listing(world, route_case.service, 2)
+    world.store.is_unresponsive = True
+    send_until_reached(caller, route_case.path, *upstreams)
+    response, took_s = send_timed(caller, route_case.path)
+    assert took_s < MAX_REFUSAL_S
+    assert (response.status, get_error(response)) == (503, "no_upstream")
+    assert [len(upstream.requests) for upstream in upstreams] == [1, 1]
+    ends = [r for r in caplog.records if r.message == "request ended"]
+    assert "2 leave" in ends[-1].detail
+
+
+@pytest.mark.parametrize("rest", ["soon", "nan", "inf", "-1", "1e9", ""])
+def test_bad_rest_neither_fails_the_request_nor_repeats_its_warning(
+    world, caller, caplog, rest
+):
+    caplog.set_level(logging.INFO, "merlinnotch")
+    resting, _ = add_pair(world, ROUTE_CASES["once"], make_resting_script(rest))
+    send_until_reached(caller, ONCE_PATH, resting)
+    for _ in range(3):
+        assert send(caller, ONCE_PATH).status == 200
+    warnings = [r for r in caplog.records if r.message == "invalid upstream notice"]
+    assert [r.upstream for r in warnings] == ["i-1"]
