Keep requests from upstreams that leave or ask for a rest

What callers saw: little, as other upstreams took most requests; three callers of one instance were refused with "not run, not run, no retry budget" within 0.4 s, after repeats at two resting upstreams had used the budget up. What the upstreams saw: with the store away, requests 2.7 and 3.2 s after they had told that instance that they leave; in 3 s of rest, three and more requests from one instance.

Cause: an instance read neither notice. Leaving was learned from the store alone, and a refusal excluded an upstream for the rest of that one request; the next request, or the run of a larger model, chose it anew.

Why this holds: the notice of every response head is recorded before anything in it can raise, by the upstream's start, in one place (FleetView.notices). The store's draining is told to the same place. Choice, repeats, continued streams, sessions, canaries, larger models, the slowdown of the cascade, probes and reachability checks ask FleetView with the time, and none keeps a copy. An entry that lapses, is removed or says "ready" changes nothing in what an answer said; a new start under the id ends it. Bad values are bounded and logged once.

With all upstreams resting, callers get upstreams_resting at once, with a Retry-After that is spread upwards only. A larger model is no longer started where no upstream would take it: the answer at hand was lost then.

Retry budget and attempt limits are as before. The check of protocol names also finds the new header.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -105,9 +105,10 @@
     def record_removed(self, upstream):
         """Record that an upstream was removed; the time at which it ended is unknown.
 
-        A draining upstream has finished its requests and loses none.
+        A leaving upstream has finished its requests and loses none.
         """
-        if not upstream.draining:
+        now = self._read_clock()
+        if not self._view.notices.is_leaving(upstream.start, now):
             self._report_losses(upstream.start, None)
 
     def _report_losses(self, start, observed_at):
--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -10,6 +10,7 @@
     RetryReserver,
     UpstreamChooser,
 )
+from .._notices import NoticeRecorder
 from .._placement import (
     CascadePolicy,
     CascadeSettings,
@@ -57,7 +58,9 @@
     versions = VersionChooser(generator)
     chooser = UpstreamChooser(view, versions, placer, warm_up, generator)
     retry_budgets = _build_budgets(settings.retries, view)
-    prober = Prober(pool, loads, view, crash_detector.record_connection_refused)
+    prober = Prober(
+        pool, loads, view, read_clock, crash_detector.record_connection_refused
+    )
     retry_reserver = RetryReserver(chooser, retry_budgets, pool, prober, read_clock)
     reader = PatientReader(
         ReachabilityChecker(pool, view, read_clock), retry_reserver, read_clock
@@ -73,7 +76,13 @@
         cascade=CascadePolicy(CascadeSettings(settings.cascade.value)),
         chooser=chooser,
         attempt_sender=AttemptSender(
-            pool, loads, prefill_rates, read_clock, load_exchange, reader
+            pool,
+            loads,
+            prefill_rates,
+            read_clock,
+            load_exchange,
+            reader,
+            NoticeRecorder(view.notices),
         ),
         reader=reader,
         prober=prober,
--- a/src/merlinnotch/_errors/kinds.py
+++ b/src/merlinnotch/_errors/kinds.py
@@ -22,6 +22,7 @@
     NO_UPSTREAM = "no_upstream"
     EVACUATED = "evacuated"
     WARMING_UP = "warming_up"
+    UPSTREAMS_RESTING = "upstreams_resting"
     REQUEST_BLOCKED = "request_blocked"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
--- a/src/merlinnotch/_errors/responses.py
+++ b/src/merlinnotch/_errors/responses.py
@@ -70,6 +70,9 @@
     K.WARMING_UP: ErrorResponse(
         503, SERVER_ERROR, "Upstreams have just started and take few requests yet.", 1
     ),
+    K.UPSTREAMS_RESTING: ErrorResponse(
+        503, SERVER_ERROR, "All upstreams for this request want a rest.", 1
+    ),
     K.REQUEST_BLOCKED: ErrorResponse(
         503,
         SERVER_ERROR,
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -5,6 +5,7 @@
 import math
 
 from .._errors import ConfigurationInvalid
+from .._notices import NoticeSource, UpstreamNotices, log_leaving
 from .._poison.blocked import BlockList
 from .cold import ColdPeriods
 from .configuration import Configuration
@@ -38,7 +39,8 @@
     evacuation is invalid. *rejected_count* counts all invalid values, also those of
     evacuations.
 
-    A cold upstream is one that tolerates only a low rate of requests, see
+    *notices* holds what upstreams asked of their senders, in the store or in their
+    responses. A cold upstream is one that tolerates only a low rate of requests, see
     :class:`ColdPeriods`. *on_upstream_removed* is called with each removed
     :class:`Upstream`, *on_upstream_restarted* with the previous entry of one that
     restarted under its id. Changes of the store must take effect within
@@ -66,6 +68,7 @@
         self.peer_directory = PeerDirectory()
         self.peers = self.peer_directory.peers_by_name
         self.blocked = BlockList()
+        self.notices = UpstreamNotices()
         self._evacuated_zones = EvacuatedZones()
         self.cold = ColdPeriods()
         self.rejected_count = 0
@@ -84,13 +87,52 @@
                 self._apply_item(key_change.item, now)
 
     def list_upstreams(self, service):
-        """Return the upstreams of *service* that may get new work."""
+        """Return the upstreams of *service* that may get new work by the store."""
         return [
             u
             for u in self._upstreams.get(service, {}).values()
             if not u.draining and not self.is_zone_evacuated(u.zone)
         ]
 
+    def list_accepting(self, service, now):
+        """Return the upstreams of *service* that may get requests at *now*."""
+        upstreams = self._upstreams.get(service, {}).values()
+        return [u for u in upstreams if self.accepts_work(u, now)]
+
+    def list_staying(self, service, now):
+        """Return the upstreams of *service* that may get requests after rests."""
+        upstreams = self._upstreams.get(service, {}).values()
+        return [
+            u
+            for u in upstreams
+            if not self.is_zone_evacuated(u.zone)
+            and not self.notices.is_leaving(u.start, now)
+        ]
+
+    def accepts_work(self, upstream, now):
+        """Return whether *upstream* may get requests at *now*.
+
+        It must be neither leaving, resting nor in an evacuated zone.
+        """
+        return not self.is_zone_evacuated(upstream.zone) and self.notices.accepts_work(
+            upstream.start, now
+        )
+
+    def accepts_checks(self, upstream, now):
+        """Return whether a silent *upstream* may be checked by a new connection.
+
+        A leaving one may, as its open streams go on.
+        """
+        return (
+            not self.is_zone_evacuated(upstream.zone)
+            and self.notices.get_rest_s(upstream.start, now) <= 0.0
+        )
+
+    def count_leaving(self, service, now):
+        """Return how many upstreams of *service* are leaving."""
+        upstreams = self._upstreams.get(service, {}).values()
+        return sum(self.notices.is_leaving(u.start, now) for u in upstreams)
+
     def list_evacuated_zones(self):
         """Return the names of the evacuated zones."""
         return self._evacuated_zones.list_names()
@@ -232,6 +274,7 @@
         previous = self._entries.get(key, expired)
         if isinstance(previous, Upstream):
             self._handle_previous_entry(previous, upstream)
+        self._record_draining(upstream, now)
         self._add_upstream(upstream)
         self.cold.mark_cold(upstream.start, upstream.cold_s, now)
         return True
@@ -243,10 +286,17 @@
             fields = {"upstream": previous.id, "born_ms": previous.started_ms}
             logger.info("upstream restarted", extra=fields)
             self.cold.drop(previous.start)
+            self.notices.drop(previous.start)
             self._on_upstream_restarted(previous)
         if previous.service != current.service:
             self._upstreams.get(previous.service, {}).pop(previous.id, None)
 
+    def _record_draining(self, upstream, now):
+        if not upstream.draining:
+            self.notices.withdraw_leaving(upstream.start, NoticeSource.STORE)
+        elif self.notices.record_leaving(upstream.start, NoticeSource.STORE, now):
+            log_leaving(upstream.id, NoticeSource.STORE)
+
     def _record_ended_start(self, start):
         self._ended_starts[start] = None
         if len(self._ended_starts) > MAX_ENDED_STARTS:
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -5,7 +5,12 @@
 from .._errors import ConnectionBroken, TransportError
 from .._fleet import Upstream
 from .._placement import choose_urgency
-from ..platform import decode_response, encode_request, was_not_executed
+from ..platform import (
+    decode_notice,
+    decode_response,
+    encode_request,
+    was_not_executed,
+)
 from .reachability import compute_check_interval_s
 from .read_limits import LimitKind, ReadLimit
 
@@ -16,7 +21,18 @@
 
 
 class NotRun(TransportError):
-    """The upstream reported that it did not run the request."""
+    """The upstream reported that it did not run the request.
+
+    *reason* is logged and counted as the reason for the failed attempt.
+    """
+
+    reason = "not run"
+
+
+class TurnedAway(NotRun):
+    """The upstream did not run the request and asked for a rest."""
+
+    reason = "resting"
 
 
 @dataclass
@@ -46,7 +62,8 @@
     """Sends a call to an upstream and reads the response head.
 
     *load_exchange* reports the prompts sent and the load of upstreams to the other
-    instances. *reader* is a :class:`PatientReader`.
+    instances. *reader* is a :class:`PatientReader`, *notice_recorder* a
+    :class:`NoticeRecorder`.
     """
 
     def __init__(
@@ -57,6 +74,7 @@
         read_clock,
         load_exchange,
         reader,
+        notice_recorder,
     ):
         self._pool = pool
         self._loads = loads
@@ -64,6 +82,7 @@
         self._read_clock = read_clock
         self._load_exchange = load_exchange
         self._reader = reader
+        self._notice_recorder = notice_recorder
 
     def send(self, call, choice, placement_request, estimate, until):
         """Return the :class:`Attempt` of sending *call* to the upstream of *choice*.
@@ -129,6 +148,7 @@
 
     def _process_head(self, call, upstream, connection, head, started_at):
         now = self._read_clock()
+        notice = self._record_notice(call, upstream, head, now)
         load = self._loads.get(upstream)
         response_info = decode_response(head.fields)
         if response_info.running is not None:
@@ -139,6 +159,8 @@
                 )
         if was_not_executed(head.status, head.fields):
             self._drain_and_release(upstream, connection, now)
+            if notice.rest_s > 0.0:
+                raise TurnedAway(f"status {head.status}, {notice.rest_s:g} s of rest")
             raise NotRun(f"status {head.status}")
         if response_info.attempt_id != call.headers.attempt_id:
             connection.close()
@@ -150,6 +172,17 @@
             upstream, connection, head, response_info, started_at, now - started_at
         )
 
+    def _record_notice(self, call, upstream, head, now):
+        """Record and return the notice of a response, before others may raise.
+
+        A refusal may lack the attempt's id. The notice of a response to another
+        request is not recorded, as the connection is out of step.
+        """
+        notice = decode_notice(head.status, head.fields)
+        if notice.attempt_id in (None, call.headers.attempt_id):
+            self._notice_recorder.record(upstream.start, upstream.id, notice, now)
+        return notice
+
     def _drain_and_release(self, upstream, connection, now):
         """Read the body of a refusal so that the connection can be reused."""
         try:
--- a/src/merlinnotch/_gateway/choice.py
+++ b/src/merlinnotch/_gateway/choice.py
@@ -44,41 +44,43 @@
         weights = [split.weight for split in splits]
         return self._generator.choices(splits, weights)[0].service
 
-    def filter_by_warm_up(self, upstreams, now):
-        """Return those of *upstreams* that are warm, or cold but allowed a request."""
-        return [u for u in upstreams if self._warm_up.allows(u, now)]
+    def list_candidates(self, call, now):
+        """Return the untried upstreams that may get a request of *call* at *now*."""
+        accepting = self._view.list_accepting(call.service, now)
+        return self._filter_by_warm_up(_list_untried(accepting, call.tried_starts), now)
 
     def choose_upstream(self, call, now):
         """Return the :class:`Choice` for the next attempt.
 
         Raises :class:`RequestRefused` if no upstream can be selected.
         """
-        listed = self._view.list_upstreams(call.service)
-        self._check_reachable(call, listed)
-        untried = [u for u in listed if u.start not in call.tried_starts]
-        allowed = self.filter_by_warm_up(untried, now)
-        candidates = self._list_candidates(call, listed, allowed)
+        accepting = self._view.list_accepting(call.service, now)
+        self._check_reachable(call, accepting)
+        untried = _list_untried(accepting, call.tried_starts)
+        allowed = self._filter_by_warm_up(untried, now)
+        version_filters = self._choose_versions(call)
+        candidates = self._filter_by_version(call, version_filters, allowed, now)
         if candidates:
             return self._place(call, candidates, len(untried) - 1, now)
+        self._check_resting(call, version_filters, now)
         if len(allowed) < len(untried):
             detail = (
                 f"{len(untried) - len(allowed)} of {len(untried)} upstreams are cold"
             )
             raise RequestRefused(ErrorKind.WARMING_UP, detail)
-        detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
-        raise RequestRefused(ErrorKind.NO_UPSTREAM, detail)
+        raise RequestRefused(ErrorKind.NO_UPSTREAM, self._describe_upstreams(call, now))
 
     def choose_reachable(self, call, excluded_starts, now):
         """Return the :class:`Choice` of a reachable upstream, or None.
 
         Those of *excluded_starts* are not chosen.
         """
-        listed = self._view.list_upstreams(call.service)
-        excluded = call.tried_starts | excluded_starts
-        untried = [u for u in listed if u.start not in excluded]
+        accepting = self._view.list_accepting(call.service, now)
+        untried = _list_untried(accepting, call.tried_starts | excluded_starts)
         reachable = self._placer.list_reachable(untried)
-        allowed = self.filter_by_warm_up(reachable, now)
-        candidates = self._list_candidates(call, listed, allowed)
+        allowed = self._filter_by_warm_up(reachable, now)
+        version_filters = self._choose_versions(call)
+        candidates = self._filter_by_version(call, version_filters, allowed, now)
         if not candidates:
             return None
         return self._place(call, candidates, len(untried) - 1, now)
@@ -89,43 +91,71 @@
         self._warm_up.record_sent(upstream, now)
         return Choice(upstream, alternative_count)
 
-    def _list_candidates(self, call, listed, allowed):
-        """Return those of *allowed* that have a version for *call*.
+    def _choose_versions(self, call):
+        rollout = self._view.get_rollout(call.service)
+        return self._versions.choose(call.service, rollout, call.headers.session)
 
-        The version is drawn by the rollout's stage, or is that of the call's session.
-        """
+    def _filter_by_version(self, call, version_filters, allowed, now):
+        """Return those of *allowed* that have the first available version."""
         rollout = self._view.get_rollout(call.service)
-        version_filters = self._versions.choose(
-            call.service, rollout, call.headers.session
-        )
         for accepts_version in version_filters:
             candidates = [u for u in allowed if accepts_version(u.version)]
-            candidates = self._restrict_to_canaries(candidates, listed, call, rollout)
+            candidates = self._restrict_to_canaries(candidates, call, rollout, now)
             if candidates:
                 return candidates
         return []
 
-    def _check_reachable(self, call, listed):
+    def _filter_by_warm_up(self, upstreams, now):
+        """Return those of *upstreams* that are warm, or cold but allowed a request."""
+        return [u for u in upstreams if self._warm_up.allows(u, now)]
+
+    def _check_reachable(self, call, accepting):
         """Raise :class:`RequestRefused` if no upstream can be used at all.
 
-        This is so if the service is evacuated or none of *listed* is reachable.
+        This is so if the service is evacuated or none of *accepting* is reachable.
         """
-        if not listed and self._view.is_service_evacuated(call.service):
+        if not accepting and self._view.is_service_evacuated(call.service):
             raise RequestRefused(ErrorKind.EVACUATED)
-        if listed and not self._placer.list_reachable(listed):
+        if accepting and not self._placer.list_reachable(accepting):
             # Each further attempt would wait for a connection timeout.
             raise RequestRefused(
                 ErrorKind.NO_UPSTREAM,
-                f"none of {len(listed)} upstreams reachable",
+                f"none of {len(accepting)} upstreams reachable",
                 retry_after_s=UNREACHABLE_RETRY_AFTER_S,
             )
 
-    def _restrict_to_canaries(self, candidates, listed, call, rollout):
+    def _check_resting(self, call, version_filters, now):
+        """Raise :class:`RequestRefused` if all upstreams of the versions are resting.
+
+        Leaving ones don't count, as they won't take requests after a rest.
+        """
+        usable = [
+            u
+            for u in self._view.list_staying(call.service, now)
+            if any(accepts_version(u.version) for accepts_version in version_filters)
+        ]
+        rests_s = [self._view.notices.get_rest_s(u.start, now) for u in usable]
+        if not rests_s or min(rests_s) <= 0.0:
+            return
+        detail = f"{len(usable)} upstreams rest, " + self._describe_upstreams(call, now)
+        raise RequestRefused(
+            ErrorKind.UPSTREAMS_RESTING, detail, retry_after_s=min(rests_s)
+        )
+
+    def _describe_upstreams(self, call, now):
+        listed = self._view.list_upstreams(call.service)
+        leaving_count = self._view.count_leaving(call.service, now)
+        detail = f"{len(listed)} upstreams listed, {len(call.tried_starts)} tried"
+        return f"{detail}, {leaving_count} leave" if leaving_count else detail
+
+    def _restrict_to_canaries(self, candidates, call, rollout, now):
         """Return *candidates* without upstreams outside the current rollout stage.
 
         While the target version receives part of the traffic, only its canary upstreams
-        are used. Sessions stay on their version even if no canary is left, and so do
-        requests if no other version is listed.
+        are used. Resting upstreams remain canaries, as only this instance may know that
+        they rest; requests go to the other canaries or to another version meanwhile.
+        Sessions stay on their version even if no canary is left, and so do requests if
+        no other version is listed.
         """
         stage = rollout.current_stage
         if stage is None or stage.has_all_traffic or not rollout.is_active:
@@ -133,10 +163,15 @@
         target_version = rollout.order.target
         if not any(u.version == target_version for u in candidates):
             return candidates
-        on_target = [u for u in listed if u.version == target_version]
+        staying = self._view.list_staying(call.service, now)
+        on_target = [u for u in staying if u.version == target_version]
         canaries = select_canaries(on_target, call.service, stage.canaries)
         usable = [u for u in self._placer.list_reachable(candidates) if u in canaries]
         keeps_version = call.headers.session is not None or len(on_target) == len(
-            listed
+            staying
         )
         return candidates if keeps_version and not usable else usable
+
+
+def _list_untried(upstreams, tried_starts):
+    return [u for u in upstreams if u.start not in tried_starts]
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -87,7 +87,7 @@
             self._parts.crash_detector.runs.close(call.run)
             call.tried_starts.add(upstream.start)
             self._exclude_from_limit(call, upstream)
-            self._record_failed_send(call, upstream, "not run", error)
+            self._record_failed_send(call, upstream, error.reason, error)
         except (ConnectionBroken, MalformedMessage) as error:
             now = self._read_clock()
             if not isinstance(error, ConnectionTimedOut):
--- a/src/merlinnotch/_gateway/larger_model.py
+++ b/src/merlinnotch/_gateway/larger_model.py
@@ -23,20 +23,23 @@
         if len(call.sent_starts) >= call.route.max_upstreams:
             return None
         service = call.configuration.services.get(call.service)
-        upstreams = self._parts.view.list_upstreams(call.service)
         now = self._read_clock()
+        upstreams = self._parts.view.list_accepting(call.service, now)
         call.confidence = attempt.response_info.confidence
         call.slowdown = self._parts.loads.measure_slowdown(upstreams, now)
         cascade = self._parts.cascade
         if not cascade.can_improve(call.route, call.model, call.confidence):
             return None
+        candidates = self._parts.chooser.list_candidates(call, now)
+        if not candidates:
+            return None
         larger_model = cascade.choose_next(
             call.route,
             service.engine if service else None,
             call.model,
             call.confidence,
             call.headers,
-            self._estimate_load(call, upstreams, now),
+            self._estimate_load(call, candidates, now),
         )
         if larger_model is None:
             return None
@@ -49,15 +52,14 @@
             return None
         return larger_model
 
-    def _estimate_load(self, call, upstreams, now):
-        """Return the :class:`CascadeConditions` for a run of the largest model."""
+    def _estimate_load(self, call, candidates, now):
+        """Return the :class:`CascadeConditions` for a run of the largest model.
+
+        *candidates* are the upstreams that may get it.
+        """
         parts = self._parts
         placement_request = PlacementRequest(call.headers.prompt, call.route.models[-1])
-        untried = [u for u in upstreams if u.start not in call.tried_starts]
-        candidates = parts.chooser.filter_by_warm_up(untried, now)
         upstream = parts.placer.pick(candidates, placement_request, now)
-        if upstream is None:
-            return CascadeConditions(call.slowdown, 0.0)
         estimate = parts.placer.estimate(upstream, placement_request, now)
         gap_s = parts.event_gaps.get_baseline(placement_request.model) * call.slowdown
         return CascadeConditions(
--- a/src/merlinnotch/_gateway/prober.py
+++ b/src/merlinnotch/_gateway/prober.py
@@ -19,15 +19,16 @@
     """Connects to unreachable upstreams until a connection succeeds.
 
     Until then placement prefers other upstreams, as a request sent there would wait for
-    the connection timeout.
+    the connection timeout. Upstreams that accept no work get no connections.
 
     *on_refused* is called with an upstream each time its host refuses the connection.
     """
 
-    def __init__(self, pool, loads, view, on_refused=lambda upstream: None):
+    def __init__(self, pool, loads, view, read_clock, on_refused=lambda upstream: None):
         self._pool = pool
         self._loads = loads
         self._view = view
+        self._read_clock = read_clock
         self._on_refused = on_refused
         self._probed_starts = set()
         self._refused_starts = set()
@@ -57,7 +58,7 @@
             self._refused_starts.discard(upstream.start)
 
     def _may_connect(self, upstream):
-        return not self._view.is_zone_evacuated(upstream.zone)
+        return self._view.accepts_work(upstream, self._read_clock())
 
     def _connect(self, upstream):
         try:
--- a/src/merlinnotch/_gateway/reachability.py
+++ b/src/merlinnotch/_gateway/reachability.py
@@ -49,8 +49,8 @@
     def check(self, upstream):
         """Return a :class:`CheckResult` for *upstream*, at most CHECK_TTL_S old."""
         now = self._read_clock()
-        # No new connections to evacuated zones; open streams there continue.
-        if self._view.is_zone_evacuated(upstream.zone):
+        # Without a check, open streams continue.
+        if not self._view.accepts_checks(upstream, now):
             return CheckResult(now, True)
         result = self._results.get(upstream.start)
         if result is None or now - result.checked_at >= CHECK_TTL_S:
--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -1,9 +1,11 @@
 """Error responses that the gateway generates itself."""
 
+import math
+
 import msgspec
 
 from .._errors import ErrorKind, Outcome, get_error_response
-from .._limits import jitter_retry_after
+from .._limits import jitter_retry_after, spread_retry_after
 
 UNKNOWN_OUTCOME_STATUS = 502
 MIN_RETRY_AFTER_S = 0.15
@@ -15,12 +17,15 @@
     ErrorKind.NO_UPSTREAM: 0.5,
     ErrorKind.EVACUATED: 5.0,
     ErrorKind.WARMING_UP: 0.5,
+    ErrorKind.UPSTREAMS_RESTING: 1.0,
     ErrorKind.OVERLOADED: 0.6,
 }
 """Base of Retry-After by error kind: the time in which the cause usually ends."""
 PERSISTENT_KINDS = frozenset({ErrorKind.REQUEST_BLOCKED})
 """Kinds whose cause outlasts the caller's deadline. Retry-After is then not shortened,
 so that callers don't retry too early."""
+TIMED_KINDS = frozenset({ErrorKind.UPSTREAMS_RESTING})
+"""Kinds whose cause ends at a known time. Retry-After is never earlier than that."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -41,11 +46,19 @@
     pairs = [("content-type", "application/json")]
     base_s = error.retry_after_s or DEFAULT_RETRY_AFTER_S.get(error.kind)
     if base_s is not None and status in NOT_RUN_STATUSES:
-        retry_after_s = jitter_retry_after(base_s, generator)
-        if error.kind not in PERSISTENT_KINDS:
-            retry_after_s = max(
-                MIN_RETRY_AFTER_S,
-                min(retry_after_s, remaining_s * MAX_RETRY_AFTER_SHARE),
-            )
+        retry_after_s = _compute_retry_after_s(
+            error.kind, base_s, remaining_s, generator
+        )
         pairs.append(("retry-after", f"{retry_after_s:.2f}"))
     return status, pairs, body
+
+
+def _compute_retry_after_s(kind, base_s, remaining_s, generator):
+    if kind in TIMED_KINDS:
+        # Rounded up, as the header has two decimals.
+        return math.ceil(spread_retry_after(base_s, generator) * 100.0) / 100.0
+    retry_after_s = jitter_retry_after(base_s, generator)
+    if kind in PERSISTENT_KINDS:
+        return retry_after_s
+    longest_s = remaining_s * MAX_RETRY_AFTER_SHARE
+    return max(MIN_RETRY_AFTER_S, min(retry_after_s, longest_s))
--- a/src/merlinnotch/_limits/__init__.py
+++ b/src/merlinnotch/_limits/__init__.py
@@ -3,7 +3,7 @@
 from .adaptive import AdaptiveLimit
 from .budget import RetryBudget
 from .queue import FairQueue, Waiter
-from .retry_after import jitter_retry_after
+from .retry_after import jitter_retry_after, spread_retry_after
 from .sliding_window import SlidingWindowRetryBudget
 
 __all__ = [
@@ -13,4 +13,5 @@
     "SlidingWindowRetryBudget",
     "Waiter",
     "jitter_retry_after",
+    "spread_retry_after",
 ]
--- a/src/merlinnotch/_limits/retry_after.py
+++ b/src/merlinnotch/_limits/retry_after.py
@@ -3,6 +3,8 @@
 import random
 
 MAX_RETRY_AFTER_S = 120.0
+MAX_SPREAD_SHARE = 0.5
+MAX_SPREAD_S = 10.0
 
 
 def jitter_retry_after(base_s, generator=random):
@@ -11,3 +13,11 @@
     Without jitter, callers that were refused together would retry together.
     """
     return min(MAX_RETRY_AFTER_S, base_s * generator.uniform(0.75, 1.5))
+
+
+def spread_retry_after(min_s, generator=random):
+    """Return a random value from *min_s* up, by half of it or ten seconds at most.
+
+    For causes whose end is known: no caller returns before it.
+    """
+    return min_s + generator.uniform(0.0, min(MAX_SPREAD_SHARE * min_s, MAX_SPREAD_S))
--- a/src/merlinnotch/platform/__init__.py
+++ b/src/merlinnotch/platform/__init__.py
@@ -4,6 +4,8 @@
 from .headers import (
     UNFORWARDED_REQUEST_FIELDS,
     RequestHeaders,
+    UpstreamNotice,
+    decode_notice,
     decode_request,
     decode_response,
     encode_request,
@@ -17,7 +19,9 @@
     "UNFORWARDED_REQUEST_FIELDS",
     "PlatformStore",
     "RequestHeaders",
+    "UpstreamNotice",
     "decode_item",
+    "decode_notice",
     "decode_request",
     "decode_response",
     "encode_request",
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the platform's header fields."""
 
+import math
 from dataclasses import dataclass
 
 from .._errors import MalformedMessage
@@ -20,10 +21,20 @@
 _NOT_RUN = "x-not-executed"
 _SERVER_LOAD = "x-server-load"
 _CONFIDENCE = "x-confidence"
+_LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
 
 ANY_MODEL = "*"
 MISDIRECTED_STATUS = 421
 MS_PER_S = 1000.0
+REST_STATUSES = (429, 503)
+"""Statuses whose Retry-After asks this instance for a rest."""
+DEFAULT_REST_S = 1.0
+"""Rest in place of one that is not a number."""
+MAX_REST_S = 86_400.0
+DOUBTFUL_LEAVING_S = 5.0
+"""How long an upstream counts as leaving whose notice has an unknown value."""
+MAX_QUOTED_LENGTH = 40
 
 UNFORWARDED_REQUEST_FIELDS = frozenset(
     {
@@ -95,6 +106,35 @@
     slots: int | None = None
 
 
+@dataclass(frozen=True)
+class UpstreamNotice:
+    """What an upstream asks of its senders in one response.
+
+    *attempt_id* is the id of the request that it answers, None if it is missing.
+    *leaving_s* is for how long the upstream counts as leaving: 0 if it is not, infinite
+    if it says so. *rest_s* is for how long it wants no requests. *problem* describes
+    the values that are invalid and were replaced; it is empty if there are none.
+    """
+
+    attempt_id: str | None
+    leaving_s: float = 0.0
+    rest_s: float = 0.0
+    problem: str = ""
+
+    @property
+    def is_leaving(self):
+        """Whether the upstream counts as leaving."""
+        return self.leaving_s > 0.0
+
+
+@dataclass(frozen=True)
+class _Duration:
+    """A decoded duration; *problem* is empty if its value was valid."""
+
+    seconds: float
+    problem: str = ""
+
+
 def decode_request(fields):
     """Return the :class:`RequestHeaders` of a request's header fields.
 
@@ -173,6 +213,47 @@
     )
 
 
+def decode_notice(status, fields):
+    """Return the :class:`UpstreamNotice` of a response; never raises."""
+    leaving = _decode_leaving(fields.get(_LEAVING))
+    rest = _Duration(0.0)
+    if status in REST_STATUSES:
+        rest = _decode_rest(fields.get(_RETRY_AFTER))
+    problems = [problem for problem in (leaving.problem, rest.problem) if problem]
+    return UpstreamNotice(
+        attempt_id=fields.get(_ATTEMPT_ID),
+        leaving_s=leaving.seconds,
+        rest_s=rest.seconds,
+        problem="; ".join(problems),
+    )
+
+
+def _decode_leaving(text):
+    if text is None or text.strip() == "0":
+        return _Duration(0.0)
+    if text.strip() == "1":
+        return _Duration(math.inf)
+    return _Duration(DOUBTFUL_LEAVING_S, f"{_LEAVING} is {_quote(text)}")
+
+
+def _decode_rest(text):
+    if text is None:
+        return _Duration(0.0)
+    problem = f"{_RETRY_AFTER} is {_quote(text)}"
+    try:
+        rest_s = float(text)
+    except ValueError:
+        return _Duration(DEFAULT_REST_S, problem)
+    if math.isnan(rest_s):
+        return _Duration(DEFAULT_REST_S, problem)
+    bounded_s = min(max(0.0, rest_s), MAX_REST_S)
+    return _Duration(bounded_s, "" if bounded_s == rest_s else problem)
+
+
+def _quote(text):
+    return repr(text[:MAX_QUOTED_LENGTH])
+
+
 def _parse_number(fields, name):
     text = fields.get(name)
     if text is None:
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -50,6 +50,20 @@
     assert "i-9" not in "".join(timeline)
 
 
+def test_timeline_has_notices_of_the_upstreams_of_the_request():
+    lines = [
+        make_log_line(9.5, "upstream leaving", upstream="i-1", source="answer"),
+        make_log_line(9.6, "upstream resting", upstream="i-1", seconds=3.0),
+        make_log_line(9.7, "upstream resting", upstream="i-9", seconds=3.0),
+        make_log_line(9.8, "invalid upstream notice", upstream="i-1", detail="x"),
+        make_log_line(10.0, "request ended", request="r1", upstream="i-1", ms=1.0),
+    ]
+    timeline = explain_request(parse_lines(lines), "r1")
+    assert len(timeline) == 4
+    assert "source=answer" in timeline[0]
+    assert "seconds=3.0" in timeline[1]
+
+
 def test_timeline_of_unknown_request_is_empty(lines):
     assert explain_request(parse_lines(lines), "r9") == []
 
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -8,10 +8,12 @@
 import pytest
 
 from merlinnotch._entry.clock import read_clock
+from merlinnotch._notices import NoticeSource
 from standins.platform_upstream import (
     make_answer,
     make_answer_script,
     make_stream_script,
+    write_stream,
 )
 from tests.platform_world import (
     ONCE_PATH,
@@ -292,3 +294,86 @@
         assert send(caller, ONCE_PATH).status == 200
     warnings = [r for r in caplog.records if r.message == "invalid upstream notice"]
     assert [r.upstream for r in warnings] == ["i-1"]
+
+
+def crash_while_noticed(world, caller, extra, status):
+    """Break the connections of an upstream that gave a notice; return it."""
+    script = make_answer_script(b"", status, extra)
+    upstream, _ = add_pair(world, ROUTE_CASES["idempotent"], script)
+    send_until_reached(caller, PLAIN_PATH, upstream)
+    process = world.instances[0]
+    upstream.crash()
+    parts = process.gateway._forwarder._parts
+    parts.prober.mark_unreachable(process.view.find_upstream("i-1"))
+    return upstream
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [(200, [LEAVING]), (503, [NOT_RUN, ("retry-after", "3")])],
+    ids=["leaving", "resting"],
+)
+def test_prober_does_not_connect_to_upstreams_that_take_no_work(
+    world, caller, caplog, status, extra
+):
+    caplog.set_level(logging.INFO, "merlinnotch")
+    crash_while_noticed(world, caller, extra, status)
+    eventlet.sleep(1.0)
+    messages = [record.message for record in caplog.records]
+    assert "upstream refused connection" not in messages
+
+
+def test_silent_stream_of_a_resting_upstream_is_not_checked_by_connections(
+    world, caller
+):
+    def script(request, write):
+        write_stream(request, write, [(1, b"id: 1\ndata: x\n\n")], pause_s=1.5)
+        return True
+
+    upstream = world.add_upstream("i-1", script, "engines")
+    responses = []
+    eventlet.spawn(lambda: responses.append(send(caller, STREAM_PATH)))
+    wait_until(lambda: upstream.requests)
+    view = world.instances[0].view
+    start = view.find_upstream("i-1").start
+    view.notices.record_rest(start, REST_S, read_clock())
+    wait_until(lambda: responses)
+    assert responses[0].is_complete
+    assert upstream.connection_count == 1
+
+
+def test_notice_in_a_response_to_another_request_is_not_believed(world, caller):
+    def script(request, write):
+        request.fields.pairs = [("x-attempt-id", "another")]
+        write(make_answer(request, extra=[LEAVING]))
+        return True
+
+    world.add_upstream("i-1", script)
+    assert send(caller, ONCE_PATH).status == 502
+    view = world.instances[0].view
+    assert view.accepts_work(view.find_upstream("i-1"), read_clock())
+
+
+def test_misdirected_response_does_not_hide_a_notice(world, caller):
+    script = make_answer_script(b"", status=421, extra=[LEAVING])
+    world.add_upstream("i-1", script)
+    assert send(caller, ONCE_PATH).status == 503
+    view = world.instances[0].view
+    assert not view.accepts_work(view.find_upstream("i-1"), read_clock())
+
+
+def test_slowdown_of_a_leaving_upstream_does_not_prevent_a_larger_model(
+    world, caller, caplog
+):
+    caplog.set_level(logging.INFO, "merlinnotch")
+    world.add_upstream("i-1", make_stream_script(last=2), "engines")
+    world.add_upstream("i-2", make_stream_script(last=2), "engines")
+    wait_for_listing(world, "engines", 2)
+    process = world.instances[0]
+    leaving = process.view.find_upstream("i-2")
+    now = read_clock()
+    process.view.notices.record_leaving(leaving.start, NoticeSource.ANSWER, now)
+    process._loads.get(leaving).set_slowdown(20.0, now)
+    assert send(caller, SIZED_PATH).status == 200
+    ends = [r for r in caplog.records if r.message == "request ended"]
+    assert ends[-1].slowdown == 1.0
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -10,6 +10,7 @@
     RetryBudget,
     Waiter,
     jitter_retry_after,
+    spread_retry_after,
 )
 
 
@@ -140,3 +141,12 @@
     assert min(delays) >= 1.5
     assert max(delays) <= 3.0
     assert len(set(delays)) > 150
+
+
+def test_spread_retry_after_is_never_shorter():
+    generator = random.Random(1)
+    delays = [spread_retry_after(2.0, generator) for _ in range(200)]
+    assert min(delays) >= 2.0
+    assert max(delays) <= 3.0
+    assert len(set(delays)) > 100
+    assert spread_retry_after(86_400.0, generator) <= 86_410.0
--- a/tests/platform/test_protocol_names.py
+++ b/tests/platform/test_protocol_names.py
@@ -12,7 +12,7 @@
     r"x-attempt-id|x-server-seal|x-not-executed|x-credential|x-prompt-prefix"
     r"|x-deadline-ms|x-expect-instance|x-server-load|x-confidence|x-tenant"
     r"|kv-txn|kv-watch|kv-range|kv-lease|op/config|op/rollout|status/rollout"
-    r"|servers/|timeout-ms|goal-ms|drain-ms|canary-share",
+    r"|servers/|timeout-ms|goal-ms|drain-ms|canary-share|server-leaving",
     re.IGNORECASE,
 )
 
