Soak: upstreams that leave or ask for rest

A plan of its own injects them, so that old seeds keep their other faults: an upstream whose answers say that it leaves while every other instance is cut from the store and its entry still says ready, and two upstreams at once that turn requests away and ask for a rest. Two checks by the history of callers tell which instance sent each request that an upstream received. Only a restart or pause of the instance, or a cut of its connections to that upstream, excuses it; a cut of the store does not.

The soak's processes now import the sources that PYTHONPATH names.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,8 @@
 """Planning and injection of faults, which may overlap."""
 
+import operator
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eventlet
 
@@ -31,6 +32,11 @@
 )
 """Methods of :class:`FaultInjector`, without the underscore; a seed's plan depends on
 the order."""
+NOTICE_KINDS = ("leave", "rest")
+"""Further methods, planned apart so that the plan of KINDS does not depend on them."""
+MEAN_NOTICE_INTERVAL_S = 2.0
+LEAVING_OUTAGE_S = 4.0
+"""Time in which only answers say that an upstream is leaving, not its store entry."""
 FAULT_MODES = (ProxyMode.STALL, ProxyMode.STALL_REPLIES, ProxyMode.DELAY)
 
 
@@ -38,8 +44,8 @@
 class Fault:
     """One planned fault; *at_s* is its start in seconds from the start of the soak.
 
-    *kind* is one of KINDS. *target* selects the instance, proxy or upstream, modulo
-    their number.
+    *kind* is one of KINDS or NOTICE_KINDS. *target* selects the instance, proxy or
+    upstream, modulo their number.
     """
 
     at_s: float
@@ -48,18 +54,29 @@
     duration_s: float
 
 
-def plan_faults(generator, soak_duration_s):
+def plan_faults(
+    generator, soak_duration_s, kinds=KINDS, mean_interval_s=MEAN_INTERVAL_S
+):
     """Return the list of :class:`Fault` of a soak, which depends only on the seed."""
     faults = []
     at_s = FIRST_FAULT_S
     while at_s < soak_duration_s:
-        kind = generator.choice(KINDS)
+        kind = generator.choice(kinds)
         duration_s = generator.uniform(0.3, MAX_DURATION_S)
         faults.append(Fault(at_s, kind, generator.randrange(1000), duration_s))
-        at_s += generator.expovariate(1.0 / MEAN_INTERVAL_S)
+        at_s += generator.expovariate(1.0 / mean_interval_s)
     return faults
 
 
+def plan_all_faults(generator, notice_generator, soak_duration_s):
+    """Return the faults of both plans in the order of their start."""
+    faults = plan_faults(generator, soak_duration_s)
+    faults += plan_faults(
+        notice_generator, soak_duration_s, NOTICE_KINDS, MEAN_NOTICE_INTERVAL_S
+    )
+    return sorted(faults, key=operator.attrgetter("at_s"))
+
+
 class FaultInjector:
     """Injects faults into *world*."""
 
@@ -90,13 +107,14 @@
         eventlet.sleep(RESTART_DELAY_S)
         instance.start()
         history.record_fault(instance.name, signalled_at, read_clock() + 1.0)
+        history.record_interruption(instance.name, signalled_at, read_clock())
         self._reserved.discard(instance.name)
 
     def _pause(self, fault):
         instance = self._reserve_instance(fault)
         if instance is None:
             return
-        with self._record_span([instance]):
+        with self._record_span([instance]), self._record_interruption(instance):
             instance.send(signal.SIGSTOP)
             eventlet.sleep(fault.duration_s)
             instance.send(signal.SIGCONT)
@@ -139,10 +157,14 @@
             store.dropped_replies = 0
 
     def _cut_upstream(self, fault):
-        self._impair(self._select_target(self._world.proxies, fault), fault)
+        proxy = self._select_target(self._world.proxies, fault)
+        with self._record_interruption(proxy):
+            self._impair(proxy, fault)
 
     def _reset_upstream(self, fault):
-        self._select_target(self._world.proxies, fault).reset()
+        proxy = self._select_target(self._world.proxies, fault)
+        with self._record_interruption(proxy):
+            proxy.reset()
 
     def _spoil_upstream(self, fault):
         upstream = self._select_target(self._world.upstreams, fault)
@@ -151,7 +173,29 @@
         upstream.failure = None
 
     def _drain(self, fault):
-        self._world.replace_upstream(fault.target)
+        upstream = self._select_target(self._world.upstreams, fault)
+        self._world.replace_upstream(upstream)
+
+    def _leave(self, fault):
+        """Let an upstream leave while every other instance is cut from the store."""
+        upstream = self._select_target(self._world.upstreams, fault)
+        upstream.is_leaving = True
+        instances = self._world.instances[fault.target % 2 :: 2]
+        with self._record_span(instances):
+            for instance in instances:
+                instance.store_proxy.mode = ProxyMode.STALL
+            eventlet.sleep(LEAVING_OUTAGE_S)
+            for instance in instances:
+                instance.store_proxy.mode = ProxyMode.FORWARD
+        self._world.replace_upstream(upstream)
+
+    def _rest(self, fault):
+        """Let two upstreams turn requests away for a while."""
+        for target in (fault.target, fault.target + 1):
+            upstream = self._select_target(
+                self._world.upstreams, replace(fault, target=target)
+            )
+            upstream.rests_until = read_clock() + fault.duration_s
 
     def _configure(self, fault):
         self._world.rotate_keys()
@@ -168,23 +212,26 @@
         return candidates[fault.target % len(candidates)]
 
     def _record_span(self, instances):
-        return _FaultSpan(self._world.history, instances)
+        return _RecordedSpan(self._world.history.fault_spans, instances)
+
+    def _record_interruption(self, instance_or_proxy):
+        interruptions = self._world.history.interruptions
+        return _RecordedSpan(interruptions, [instance_or_proxy])
 
 
-class _FaultSpan:
-    """Context manager that records a fault for the instances that it affects."""
+class _RecordedSpan:
+    """Context manager that records a span in *spans* for each of *targets*."""
 
-    def __init__(self, history, instances):
-        self._history = history
-        self._names = [instance.name for instance in instances]
+    def __init__(self, spans, targets):
+        self._spans = spans
+        self._names = [target.name for target in targets]
 
     def __enter__(self):
         self._start = read_clock()
         for name in self._names:
-            self._history.record_fault(name, self._start, float("inf"))
+            self._spans[name].append((self._start, float("inf")))
 
     def __exit__(self, *exc_info):
         for name in self._names:
-            spans = self._history.fault_spans[name]
-            spans.remove((self._start, float("inf")))
-            spans.append((self._start, read_clock()))
+            self._spans[name].remove((self._start, float("inf")))
+            self._spans[name].append((self._start, read_clock()))
--- a/soak/history.py
+++ b/soak/history.py
@@ -17,6 +17,9 @@
 """Upstreams that the request may still crash after CRASHES_BEFORE_BLOCK crashes."""
 RECORDING_DELAY_S = 0.5
 """Allowed delay between an event and its entry in the history."""
+REST_REACTION_S = 0.5
+"""Time within which an instance applies the rest that it was turned away with."""
+MAX_REQUESTS_IN_REST = 2
 
 
 @dataclass(frozen=True)
@@ -34,6 +37,21 @@
     failed: bool = False
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request as an upstream received it, run or not.
+
+    *is_leaving* is set if the answer said that the upstream is leaving. *rest_s* is the
+    rest that the request was turned away with, 0 if it was not.
+    """
+
+    attempt_id: str
+    upstream: str
+    at: float
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class Outcome:
     """Result of an attempt, as seen by the caller.
@@ -60,9 +78,12 @@
     *key_versions* holds (time of the write, valid keys), *drained_at* maps upstream
     ids to times, *fault_spans* maps instance names to lists of (start, end).
     *stops* holds (instance, time of SIGTERM, time of exit), *crashes* holds (time,
-    attempt id) of each upstream that the poison request crashed.
+    attempt id) of each upstream that the poison request crashed. *interruptions* maps
+    instances to the spans of their restarts and pauses, and upstreams to those in which
+    their connections were cut.
     """
 
+    arrivals: list[Arrival] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
     key_versions: list = field(default_factory=list)
@@ -71,11 +92,24 @@
     stops: list = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
     crashes: list = field(default_factory=list)
+    interruptions: dict = field(default_factory=lambda: collections.defaultdict(list))
 
     def record_fault(self, instance, start, end):
         """Record that a fault affected *instance* from *start* to *end*."""
         self.fault_spans[instance].append((start, end))
 
+    def record_interruption(self, name, start, end):
+        """Record that the instance or upstream *name* was interrupted."""
+        self.interruptions[name].append((start, end))
+
+    def is_connected(self, instance, upstream, start, end):
+        """Return whether neither *instance* nor its way to *upstream* failed."""
+        return all(
+            span_end + RECORDING_DELAY_S <= start or span_start >= end
+            for name in (instance, upstream)
+            for span_start, span_end in self.interruptions[name]
+        )
+
     def is_undisturbed(self, instance, start, end):
         """Return whether no fault affected *instance* in the span.
 
@@ -100,6 +134,8 @@
             _check_draining,
             _check_stops,
             _check_poison,
+            _check_leaving,
+            _check_rests,
         )
         for line in check(history)
     ] + [f"exited unexpectedly: {name}" for name in history.unexpected_exits]
@@ -222,6 +258,55 @@
         yield f"upstreams crashed by a blocked request: {' '.join(late)}"
 
 
+def _check_leaving(history):
+    """Yield a message for each request to an upstream whose leaving was passed on.
+
+    A complete answer with status 200 is the one of the last upstream.
+    """
+    last_arrivals = {a.attempt_id: a for a in history.arrivals}
+    passed_on_at = collections.defaultdict(list)
+    for outcome in history.outcomes:
+        arrival = last_arrivals.get(outcome.attempt_id)
+        if arrival is None or not arrival.is_leaving:
+            continue
+        if outcome.status == OK and outcome.is_complete:
+            passed_on_at[outcome.instance, arrival.upstream].append(outcome.ended_at)
+    for link, arrivals in _group_by_link(history).items():
+        for arrival in arrivals:
+            if any(
+                arrival.at > instant + PROPAGATION_S
+                and history.is_connected(*link, instant, arrival.at)
+                for instant in passed_on_at[link]
+            ):
+                yield f"sent to {link[1]} after its notice: {arrival.attempt_id}"
+
+
+def _check_rests(history):
+    """Yield a message for each rest in which an instance sent too many requests."""
+    for link, arrivals in _group_by_link(history).items():
+        for first in arrivals:
+            late = [
+                arrival
+                for arrival in arrivals
+                if first.at + REST_REACTION_S < arrival.at < first.at + first.rest_s
+                and history.is_connected(*link, first.at, arrival.at)
+            ]
+            if len(late) > MAX_REQUESTS_IN_REST:
+                ids = " ".join(arrival.attempt_id for arrival in late)
+                yield f"sent to {link[1]} in its rest by {link[0]}: {ids}"
+
+
+def _group_by_link(history):
+    """Return lists of the arrivals by (instance, upstream)."""
+    instances = {o.attempt_id: o.instance for o in history.outcomes}
+    arrivals_by_link = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        if arrival.attempt_id in instances:
+            link = (instances[arrival.attempt_id], arrival.upstream)
+            arrivals_by_link[link].append(arrival)
+    return arrivals_by_link
+
+
 def make_body(attempt_id):
     """Return the body of the answer to a plain request."""
     return f"done {attempt_id}".encode()
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,5 +1,6 @@
 """Instances of merlinnotch as child processes."""
 
+import os
 import pathlib
 import signal
 import sys
@@ -69,7 +70,10 @@
         log = (self._folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "merlinnotch._entry.main"],
-            env={"MERLINNOTCH_CONFIG": str(self._path)},
+            env={
+                "MERLINNOTCH_CONFIG": str(self._path),
+                "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
+            },
             stdout=log,
             stderr=log,
             # A stopped process in this group would bring SIGHUP on all of the group
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,11 +21,13 @@
 class Proxy:
     """Forwards connections to *target*, a (host, port) pair.
 
+    *name* is that of the instance or upstream whose connections it forwards.
     Stalled bytes are delivered when the mode changes, as after a network partition.
     *delay_s* applies to each block of bytes in mode DELAY.
     """
 
-    def __init__(self, target, delay_s=0.15):
+    def __init__(self, name, target, delay_s=0.15):
+        self.name = name
         self._target = target
         self._delay_s = delay_s
         self._sockets = set()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,16 +1,19 @@
 """Upstreams that record each run and fail at random."""
 
+import math
+
 import eventlet
 
 from merlinnotch._entry.clock import read_clock
 from standins.platform_upstream import (
     StandInUpstream,
     make_answer,
+    make_answer_script,
     refuse,
     write_stream,
 )
 
-from .history import POISON, STREAM_EVENTS, Run, make_body, make_event
+from .history import POISON, STREAM_EVENTS, Arrival, Run, make_body, make_event
 
 EVENT_INTERVAL_S = 0.03
 SLOW_ANSWER_S = 0.6
@@ -25,8 +28,9 @@
     """Upstream that derives its answer from the attempt id.
 
     *failure* is one of FAILURES or None, *failure_rate* the probability that a
-    request meets it. *on_crash* is called with the upstream when a request has
-    crashed it.
+    request meets it. With *is_leaving* its answers say so; until *rests_until* it
+    turns requests away with the rest that is left. *on_crash* is called with the
+    upstream when a request has crashed it.
     """
 
     def __init__(self, upstream_id, history, generator, is_streaming, on_crash):
@@ -35,18 +39,31 @@
         self.id = upstream_id
         self.failure = None
         self.failure_rate = 0.3
+        self.is_leaving = False
+        self.rests_until = -math.inf
         self._history = history
         self._generator = generator
         self._is_streaming = is_streaming
 
     def _answer(self, request, write):
+        now = read_clock()
+        rest_s = max(0.0, round(self.rests_until - now, 2))
+        attempt_id = request.fields.get("x-attempt-id", "")
+        self._history.arrivals.append(
+            Arrival(attempt_id, self.id, now, self.is_leaving, rest_s)
+        )
+        if rest_s > 0.0:
+            extra = [("x-not-executed", "1"), ("retry-after", f"{rest_s:.2f}")]
+            return make_answer_script(b"", 503, extra)(request, write)
+        return self._run(request, write, attempt_id)
+
+    def _run(self, request, write, attempt_id):
         if request.body == POISON:
             return self._crash(request, write)
         failure = self._choose_failure()
         if failure == "refused":
             return refuse(request, write)
         fields = request.fields
-        attempt_id = fields.get("x-attempt-id", "")
         if request.target.startswith("/health"):
             write(make_answer(request))
             return True
@@ -62,14 +79,15 @@
         if failure == "lost":
             return False
         if failure == "failed":
-            write(make_answer(request, b"failed", status=500))
+            write(make_answer(request, b"failed", 500, self._list_notices()))
             return True
         if failure == "slow":
             eventlet.sleep(SLOW_ANSWER_S)
         if self._is_streaming:
             return self._write_stream(request, write, attempt_id, failure)
         eventlet.sleep(self._generator.uniform(0.005, 0.05))
-        write(make_answer(request, make_body(attempt_id)))
+        extra = self._list_notices()
+        write(make_answer(request, make_body(attempt_id), extra=extra))
         return True
 
     def _crash(self, request, write):
@@ -94,4 +112,9 @@
             (number, make_event(attempt_id, number))
             for number in range(first, STREAM_EVENTS + 1)
         ]
-        return write_stream(request, write, events, stop_at, pause_s=EVENT_INTERVAL_S)
+        return write_stream(
+            request, write, events, stop_at, self._list_notices(), EVENT_INTERVAL_S
+        )
+
+    def _list_notices(self):
+        return [("server-leaving", "1")] if self.is_leaving else []
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,7 +11,7 @@
 from tests.platform_world import make_configuration
 
 from .callers import PoisonCaller, SoakCaller
-from .faults import FaultInjector, plan_faults
+from .faults import FaultInjector, plan_all_faults
 from .history import History, find_violations
 from .instances import Instance
 from .proxy import Proxy
@@ -31,6 +31,7 @@
 
     def __init__(self, seed, instances=5, folder=None):
         self.generator = random.Random(seed)
+        self._notice_generator = random.Random(f"notices {seed}")
         self._poison_generator = random.Random(f"poison {seed}")
         self.history = History()
         self.store = StandInStore()
@@ -62,7 +63,9 @@
         watcher = eventlet.spawn(self._restart_exited)
         injector = FaultInjector(self)
         injections = []
-        for fault in plan_faults(self.generator, duration_s):
+        for fault in plan_all_faults(
+            self.generator, self._notice_generator, duration_s
+        ):
             eventlet.sleep(max(0.0, started_at + fault.at_s - read_clock()))
             injections.append(eventlet.spawn(injector.inject, fault))
         for thread in [*injections, *callers]:
@@ -88,10 +91,9 @@
         self.store.put("op/config", make_configuration(self._config_version, keys))
         self.history.key_versions.append((read_clock(), keys))
 
-    def replace_upstream(self, number):
+    def replace_upstream(self, upstream):
         """Add a replacement for an upstream, then drain and remove it."""
-        upstream = self.upstreams[number % len(self.upstreams)]
-        if upstream.id in self.history.drained_at:
+        if upstream not in self.upstreams:
             return
         self._add_upstream(upstream.service)
         self._register_upstream(upstream, "draining")
@@ -127,7 +129,7 @@
         )
         upstream.service = service
         host, _, port = upstream.address.partition(":")
-        upstream.proxy = Proxy((host, int(port)))
+        upstream.proxy = Proxy(upstream.id, (host, int(port)))
         self.proxies.append(upstream.proxy)
         self.upstreams.append(upstream)
         self._register_upstream(upstream, "ready")
@@ -147,10 +149,11 @@
 
     def _make_instance(self, number, seed):
         host, _, port = self.store.address.partition(":")
-        store_proxy = Proxy((host, int(port)))
+        name = f"one-{number}"
+        store_proxy = Proxy(name, (host, int(port)))
         instance_host = f"127.{20 + seed % 200}.{number // 200}.{1 + number % 200}"
         zone = f"zone-{number % 2}"
-        return Instance(f"one-{number}", instance_host, zone, store_proxy, self.folder)
+        return Instance(name, instance_host, zone, store_proxy, self.folder)
 
     def _make_caller(self, number):
         generator = random.Random(self.generator.random())
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -5,7 +5,10 @@
 import pytest
 
 from soak.history import (
+    MAX_REQUESTS_IN_REST,
     PROPAGATION_S,
+    REST_REACTION_S,
+    Arrival,
     History,
     Outcome,
     Run,
@@ -98,3 +101,82 @@
 def test_unexpected_process_exit_is_reported(history):
     history.unexpected_exits.append("one")
     assert find_violations(history) == ["exited unexpectedly: one"]
+
+
+LEAVING = Arrival("a-1", "i-1", 10.1, is_leaving=True)
+REST = Arrival("a-1", "i-1", 10.1, rest_s=3.0)
+
+
+def record_arrival(history, attempt_id, at, upstream="i-1", instance="one"):
+    """Record a request that *instance* sends to *upstream* later on."""
+    history.arrivals.append(Arrival(attempt_id, upstream, at))
+    record_outcome(
+        history, attempt_id=attempt_id, instance=instance, body=make_body(attempt_id)
+    )
+
+
+def record_leaving(history):
+    record_outcome(history)
+    history.arrivals.append(LEAVING)
+    return OUTCOME.ended_at
+
+
+def record_rest(history):
+    record_outcome(history)
+    history.arrivals.append(REST)
+    return REST.at + REST_REACTION_S
+
+
+def test_request_after_passed_on_leaving_notice_is_reported(history):
+    passed_on_at = record_leaving(history)
+    record_arrival(history, "a-2", passed_on_at + PROPAGATION_S - 0.1)
+    record_arrival(history, "a-3", passed_on_at + 9.0, upstream="i-2")
+    record_arrival(history, "a-4", passed_on_at + 9.0, instance="two")
+    assert find_violations(history) == []
+    record_arrival(history, "a-5", passed_on_at + PROPAGATION_S + 0.1)
+    assert find_violations(history) == ["sent to i-1 after its notice: a-5"]
+
+
+@pytest.mark.parametrize("name", ["one", "i-1"])
+def test_interruption_excuses_only_notices_before_it(history, name):
+    passed_on_at = record_leaving(history)
+    history.record_interruption(name, passed_on_at + 1.0, passed_on_at + 2.0)
+    record_arrival(history, "a-2", passed_on_at + 9.0)
+    assert find_violations(history) == []
+    history.arrivals.append(dataclasses.replace(LEAVING, attempt_id="a-3"))
+    record_outcome(
+        history,
+        attempt_id="a-3",
+        body=make_body("a-3"),
+        ended_at=passed_on_at + 3.0,
+    )
+    assert find_violations(history) == ["sent to i-1 after its notice: a-2"]
+
+
+def test_leaving_notice_that_another_upstream_replaced_is_not_passed_on(history):
+    passed_on_at = record_leaving(history)
+    history.arrivals.append(Arrival("a-1", "i-2", 10.15))
+    record_arrival(history, "a-2", passed_on_at + 9.0)
+    assert find_violations(history) == []
+
+
+def test_more_requests_in_a_rest_than_allowed_are_reported(history):
+    from_at = record_rest(history)
+    for number in range(MAX_REQUESTS_IN_REST):
+        record_arrival(history, f"b-{number}", from_at - 0.1)
+        record_arrival(history, f"c-{number}", from_at + 0.1)
+        record_arrival(history, f"d-{number}", REST.at + REST.rest_s + 0.1)
+        record_arrival(history, f"e-{number}", from_at + 0.1, upstream="i-2")
+        record_arrival(history, f"f-{number}", from_at + 0.1, instance="two")
+    assert find_violations(history) == []
+    record_arrival(history, "g", from_at + 0.2)
+    assert find_violations(history) == ["sent to i-1 in its rest by one: c-0 c-1 g"]
+
+
+@pytest.mark.parametrize("name", ["one", "i-1"])
+def test_interruption_excuses_requests_in_a_rest(history, name):
+    from_at = record_rest(history)
+    for number in range(MAX_REQUESTS_IN_REST + 1):
+        record_arrival(history, f"b-{number}", from_at + 0.2)
+    history.record_interruption(name, REST.at, from_at + 0.1)
+    assert find_violations(history) == []
