Retry-After at the end of a rest leaves time for the caller's next attempt

What callers saw: with all upstreams resting, some were told to return so late that their own deadline came first. Cause: the spread after the rest's end did not look at what the caller has left. It now takes half of that at most, and never begins before the rest ends.

--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -55,8 +55,9 @@
 
 def _compute_retry_after_s(kind, base_s, remaining_s, generator):
     if kind in TIMED_KINDS:
+        spread_s = spread_retry_after(base_s, generator, remaining_s)
         # Rounded up, as the header has two decimals.
-        return math.ceil(spread_retry_after(base_s, generator) * 100.0) / 100.0
+        return math.ceil(spread_s * 100.0) / 100.0
     retry_after_s = jitter_retry_after(base_s, generator)
     if kind in PERSISTENT_KINDS:
         return retry_after_s
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -150,3 +150,11 @@
     assert max(delays) <= 3.0
     assert len(set(delays)) > 100
     assert spread_retry_after(86_400.0, generator) <= 86_410.0
+
+
+def test_spread_retry_after_leaves_time_for_the_next_attempt():
+    generator = random.Random(1)
+    delays = [spread_retry_after(2.0, generator, 2.5) for _ in range(200)]
+    assert min(delays) >= 2.0
+    assert max(delays) <= 2.25
+    assert max(spread_retry_after(2.0, generator, 1.0) for _ in range(200)) > 2.25
