Keep requests from leaving and resting upstreams at the second front door

What callers and upstreams saw: an engine that says in its answers that it leaves got all 12 of 12 requests; with all engines resting, callers got no_upstream or overloaded, and a Retry-After that the jitter may shorten.

Cause: the OpenAI-compatible front door read neither notice. It knew of leaving from the listing, a 410 to a load poll or a refusal with that reason, as a copy of its own that lapsed after 60 s; a refusal excluded its upstream for one request and one round only.

Why this holds: UpstreamTable owns the UpstreamNotices, by id and address, and drops an upstream's when its address changes or it is removed. Responses of streams, service calls and load polls are recorded before their bodies are read. find and choose ask with the time; resting upstreams are not polled. Reports of peers and refusals, which name no start, still hold for 60 s, but are renewed, and published again after 30 s while they last. Their wire format is as before.

With all upstreams resting callers are refused at once, and queued requests when the rest outlasts their start deadline; the queue is dispatched when a rest ends. A version is not blamed for one failure while the other upstreams that have it rest. A request that may have run is no longer told as not run when no upstream is left for a retry.

The test of orders told a leaving upstream by the removed attribute leaving_since, and records a notice instead.

--- a/src/merlinnotch/_callers/app.py
+++ b/src/merlinnotch/_callers/app.py
@@ -2,9 +2,10 @@
 
 import json
 import logging
+import math
 
 from .._errors import ErrorKind, Outcome, RequestRefused, get_error_response
-from .._limits import jitter_retry_after
+from .._limits import jitter_retry_after, spread_retry_after
 from .._sessions import Session
 
 logger = logging.getLogger("merlinnotch")
@@ -28,6 +29,8 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
+TIMED_KINDS = frozenset({ErrorKind.UPSTREAMS_RESTING})
+"""Kinds whose cause ends at a known time. Retry-After is never earlier than that."""
 JSON_TYPE = "application/json"
 STREAM_TYPE = "text/event-stream"
 
@@ -120,6 +123,18 @@
     return any(team.allows(model.name, version.name) for version in model.versions)
 
 
+def _build_retry_headers(kind, base_s):
+    if kind in TIMED_KINDS:
+        retry_after_s = spread_retry_after(base_s)
+        seconds = math.ceil(retry_after_s)
+        milliseconds = math.ceil(retry_after_s * 1000)
+    else:
+        retry_after_s = jitter_retry_after(base_s)
+        seconds = max(1, round(retry_after_s))
+        milliseconds = round(retry_after_s * 1000)
+    return [("Retry-After", str(seconds)), ("Retry-After-Ms", str(milliseconds))]
+
+
 class _Reply:
     """Starts the response to one request and counts its outcome."""
 
@@ -168,9 +183,7 @@
         ]
         base_s = refusal.retry_after_s or answer.retry_after_s
         if base_s is not None:
-            retry_after_s = jitter_retry_after(base_s)
-            headers.append(("Retry-After", str(max(1, round(retry_after_s)))))
-            headers.append(("Retry-After-Ms", str(round(retry_after_s * 1000))))
+            headers += _build_retry_headers(refusal.kind, base_s)
         if self.call is not None:
             headers.append(("X-Request-Id", self.call.request_id))
         body = json.dumps({"error": build_error_object(refusal)}).encode()
--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -31,6 +31,7 @@
 from .._upstreams.client import UpstreamClient
 from .._upstreams.directory import Directory
 from .._upstreams.loads import Loads
+from .._upstreams.notices import ResponseNotices
 from .._upstreams.ratings import Raters
 from .listener import open_listener
 from .metrics import Metrics
@@ -75,7 +76,10 @@
         guardian = Guardian(
             gossiper, configurer, store, tallies, quality_estimator, metrics
         )
-        loads = Loads(settings, upstream_table, gossiper, metrics, admission.dispatch)
+        notices = ResponseNotices(upstream_table, gossiper, admission.handle_notice)
+        loads = Loads(
+            settings, upstream_table, gossiper, metrics, admission.dispatch, notices
+        )
         self.state = InstanceState(
             settings=settings,
             metrics=metrics,
@@ -84,11 +88,12 @@
             membership=gossiper.membership,
             upstream_table=upstream_table,
             loads=loads,
+            notices=notices,
             admission=admission,
             ledger=ledger,
             outbox=outbox,
             answer_cache=AnswerCache(),
-            client=UpstreamClient(settings.peer_address.partition(":")[0]),
+            client=UpstreamClient(settings.peer_address.partition(":")[0], notices),
             signer=SessionSigner(settings.signing_keys),
             budget=RetryBudget(DEFAULT_RETRY_RATIO),
             quality_estimator=quality_estimator,
--- a/src/merlinnotch/_daemon/state.py
+++ b/src/merlinnotch/_daemon/state.py
@@ -17,6 +17,7 @@
 from .._upstreams.admission import Admission
 from .._upstreams.client import UpstreamClient
 from .._upstreams.loads import Loads
+from .._upstreams.notices import ResponseNotices
 from .._upstreams.ratings import Raters
 from .metrics import Metrics
 
@@ -34,6 +35,7 @@
     membership: object
     upstream_table: UpstreamTable
     loads: Loads
+    notices: ResponseNotices
     admission: Admission
     ledger: Ledger
     outbox: Outbox
--- a/src/merlinnotch/_limits/queue.py
+++ b/src/merlinnotch/_limits/queue.py
@@ -75,10 +75,14 @@
 
     def pop_expired(self, now):
         """Remove and return the waiters whose deadline has passed at *now*."""
-        expired = [waiter for waiter in self._waiters if waiter.deadline <= now]
-        for waiter in expired:
+        return self.pop_matching(lambda waiter: waiter.deadline <= now)
+
+    def pop_matching(self, matches):
+        """Remove unserved and return the waiters for which *matches* is true."""
+        matching = [waiter for waiter in self._waiters if matches(waiter)]
+        for waiter in matching:
             self.remove(waiter)
-        return expired
+        return matching
 
     def _pick_victim(self, arriving):
         usage = {arriving.team: 1.0 / arriving.weight}
--- a/src/merlinnotch/_notices/source.py
+++ b/src/merlinnotch/_notices/source.py
@@ -8,3 +8,4 @@
 
     STORE = "store"
     ANSWER = "answer"
+    PEER = "peer"
--- a/src/merlinnotch/_routing/upstream.py
+++ b/src/merlinnotch/_routing/upstream.py
@@ -1,14 +1,23 @@
 """State of one upstream, as seen by one instance."""
 
+import functools
 from dataclasses import dataclass, field
 
 from .._limits import AdaptiveLimit
+from .._notices import UpstreamNotices
 from .._peers import ListedUpstream
 
 EJECTION_FAILURES = 3
 EJECTION_BASE_S = 1.0
 EJECTION_MAX_S = 30.0
-LEAVING_TTL_S = 60.0
+
+
+@dataclass(frozen=True)
+class UpstreamStart:
+    """Identifies one start of an upstream, as far as the listing tells it."""
+
+    id: str
+    address: str
 
 
 @dataclass(eq=False)
@@ -17,10 +26,12 @@
 
     *running* and *waiting* are the last reported request counts. *in_flight* is the
     number of this instance's own requests, *in_flight_at_report* that number at the
-    time of the report. *versions* is None until known.
+    time of the report. *versions* is None until known. *notices* has what all upstreams
+    asked of their senders.
     """
 
     listed: ListedUpstream
+    notices: UpstreamNotices = field(default_factory=UpstreamNotices)
     limit: AdaptiveLimit = field(default_factory=AdaptiveLimit)
     in_flight: int = 0
     in_flight_at_report: int = 0
@@ -33,7 +44,11 @@
     ejection_count: int = 0
     ejected_until: float = float("-inf")
     unreachable: bool = False
-    leaving_since: float = float("-inf")
+
+    @functools.cached_property
+    def start(self):
+        """The :class:`UpstreamStart` that its notices belong to."""
+        return UpstreamStart(self.listed.id, self.listed.address)
 
     @property
     def load(self):
@@ -43,7 +58,15 @@
 
     def is_leaving(self, now):
         """Return whether it is shutting down and must get no new requests."""
-        return self.listed.leaving or now - self.leaving_since < LEAVING_TTL_S
+        return self.listed.leaving or self.notices.is_leaving(self.start, now)
+
+    def get_rest_s(self, now):
+        """Return for how many more seconds it wants no requests."""
+        return self.notices.get_rest_s(self.start, now)
+
+    def accepts_work(self, now):
+        """Return whether it is neither leaving nor resting."""
+        return not self.listed.leaving and self.notices.accepts_work(self.start, now)
 
     def is_ejected(self, now):
         """Return whether it is ejected after consecutive failures."""
--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -3,6 +3,7 @@
 import hashlib
 import random
 
+from .._notices import NoticeSource, UpstreamNotices
 from .upstream import Upstream
 
 CROSS_ZONE_PENALTY = 0.15
@@ -13,18 +14,26 @@
 MIN_DURATION_S = 0.1
 SMOOTHING = 0.05
 
+LEAVING_TTL_S = 60.0
+"""How long a notice of leaving without a start holds, unless it is renewed."""
+
 AFFINITY_TOLERANCE = 0.35
 """Load above the minimum that is accepted for prefix-cache affinity."""
 
 
 class UpstreamTable:
-    """The upstreams known to one instance, and the selection among them."""
+    """The upstreams known to one instance, and the selection among them.
+
+    *notices* has what they asked of their senders. The notices of an upstream end when
+    its address changes or it is removed.
+    """
 
     def __init__(self, zone, affinity=True, generator=random):
         self._zone = zone
         self._affinity = affinity
         self._generator = generator
         self._upstreams = {}
+        self.notices = UpstreamNotices()
         self._mean_duration_s = INITIAL_DURATION_S
 
     def __iter__(self):
@@ -43,20 +52,26 @@
         for upstream_id, row in listed.items():
             current = self._upstreams.get(upstream_id)
             if current is None or current.listed.address != row.address:
-                self._upstreams[upstream_id] = Upstream(row)
+                self._replace(current, row)
             else:
                 current.listed = row
         for upstream_id in self._upstreams.keys() - listed.keys():
             if self._upstreams[upstream_id].in_flight == 0:
-                del self._upstreams[upstream_id]
+                upstream = self._upstreams.pop(upstream_id)
+                self.notices.drop(upstream.start)
+
+    def record_leaving(self, upstream_id, now, source=NoticeSource.PEER):
+        """Record that an upstream announced its shutdown; return whether it is new.
 
-    def record_leaving(self, upstream_id, now):
-        """Record that an upstream announced its shutdown; return whether it is new."""
+        This holds for :data:`LEAVING_TTL_S`, as it may be about another start of the
+        upstream.
+        """
         upstream = self._upstreams.get(upstream_id)
-        if upstream is None or upstream.is_leaving(now):
+        if upstream is None:
             return False
-        upstream.leaving_since = now
-        return True
+        is_new = not upstream.is_leaving(now)
+        self.notices.record_leaving(upstream.start, source, now, LEAVING_TTL_S)
+        return is_new
 
     def record_load(self, upstream_id, report, now):
         """Store a load report and adapt the limit of the upstream."""
@@ -83,14 +98,18 @@
 
     def find(self, pool, version, now, exclude=()):
         """Return the upstreams that may get new requests, regardless of load."""
-        return [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.listed.pool == pool
-            and upstream.listed.id not in exclude
-            and upstream.has_version(version)
-            and not upstream.is_leaving(now)
-        ]
+        suitable = self._list_suitable(pool, version, exclude)
+        return [upstream for upstream in suitable if upstream.accepts_work(now)]
+
+    def list_staying(self, pool, version, now, exclude=()):
+        """Return the upstreams that may get new requests now or after their rests."""
+        suitable = self._list_suitable(pool, version, exclude)
+        return [upstream for upstream in suitable if not upstream.is_leaving(now)]
+
+    def get_shortest_rest_s(self, now):
+        """Return in how many seconds the next rest ends, 0 if no upstream rests."""
+        rests_s = [upstream.get_rest_s(now) for upstream in self]
+        return min((rest_s for rest_s in rests_s if rest_s > 0.0), default=0.0)
 
     def choose(self, pool, version, now, affinity_key="", exclude=()):
         """Return the upstream for a new request, or None if all are at their limits.
@@ -115,6 +134,20 @@
             return preferred
         return best
 
+    def _replace(self, previous, row):
+        if previous is not None:
+            self.notices.drop(previous.start)
+        self._upstreams[row.id] = Upstream(row, self.notices)
+
+    def _list_suitable(self, pool, version, exclude):
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.listed.pool == pool
+            and upstream.listed.id not in exclude
+            and upstream.has_version(version)
+        ]
+
     def _estimate_load(self, upstream, now):
         """Return the estimated load of an upstream, with the penalty for other zones.
 
--- a/src/merlinnotch/_upstreams/admission.py
+++ b/src/merlinnotch/_upstreams/admission.py
@@ -1,5 +1,7 @@
 """Admission of requests to upstreams with free capacity."""
 
+import functools
+import math
 import time
 from dataclasses import dataclass
 
@@ -35,7 +37,8 @@
     """Assigns requests to upstreams below their limits, in fair order.
 
     A request whose expected wait exceeds its start deadline is refused at once,
-    with the expected wait as the time to retry after.
+    with the expected wait as the time to retry after. If all upstreams are resting,
+    that time is the shortest remaining rest.
     """
 
     def __init__(self, table, queue_limit):
@@ -43,6 +46,7 @@
         self._queue = FairQueue(queue_limit)
         self._release_interval_s = 0.0
         self._last_release = None
+        self._rest_timer = None
 
     def set_queue_limit(self, limit):
         """Set the maximum queue length, which the catalogue defines."""
@@ -51,11 +55,11 @@
     def acquire(self, request):
         """Return an upstream for *request*; :meth:`release` must follow.
 
-        Raises :class:`RequestRefused` with the kind overloaded or no_upstream.
+        Raises :class:`RequestRefused` with the kind overloaded, no_upstream or
+        upstreams_resting.
         """
         now = time.monotonic()
-        if not self._table.find(request.pool, request.version, now, request.exclude):
-            raise RequestRefused(ErrorKind.NO_UPSTREAM)
+        self._check_accepted(request, now)
         if len(self._queue) == 0:
             upstream = self._choose_upstream(request, now)
             if upstream is not None:
@@ -73,11 +77,34 @@
         self._last_release = now
         self.dispatch()
 
+    def handle_notice(self):
+        """Refuse queued requests that wait in vain, and dispatch the others.
+
+        To be called after each notice of an upstream that is leaving or resting.
+        """
+        now = time.monotonic()
+        for waiter in self._pop_in_vain(now):
+            refusal = self._build_unaccepted_refusal(waiter.payload.request, now)
+            waiter.payload.send_exception(refusal)
+        self.dispatch()
+
+    def get_rest_s(self, request, now):
+        """Return for how many more seconds all upstreams rest, 0 if one doesn't.
+
+        Upstreams that *request* excludes count as well: it may try them again.
+        """
+        staying = self._table.list_staying(request.pool, request.version, now)
+        return min((upstream.get_rest_s(now) for upstream in staying), default=0.0)
+
     def dispatch(self):
         """Assign free capacity to queued requests in fair order."""
         now = time.monotonic()
         for waiter in self._queue.pop_expired(now):
             waiter.payload.send_exception(self._build_refusal())
+        self._assign(now)
+        self._schedule_dispatch(now)
+
+    def _assign(self, now):
         while len(self._queue):
             chosen = []
 
@@ -111,7 +138,9 @@
             raise self._build_refusal()
         if evicted is not None:
             evicted.payload.send_exception(self._build_refusal())
-        timeout_s = max(0.0, request.start_deadline - time.monotonic())
+        now = time.monotonic()
+        self._schedule_dispatch(now)
+        timeout_s = max(0.0, request.start_deadline - now)
         with eventlet.Timeout(timeout_s, False):
             return event.wait()
         if self._queue.remove(waiter):
@@ -119,6 +148,40 @@
         # An upstream was assigned just as the timeout fired.
         return event.wait()
 
+    def _schedule_dispatch(self, now):
+        """Dispatch again when the next rest ends, if requests are queued then."""
+        if self._rest_timer is not None:
+            self._rest_timer.cancel()
+            self._rest_timer = None
+        rest_s = self._table.get_shortest_rest_s(now) if len(self._queue) else 0.0
+        if rest_s > 0.0:
+            self._rest_timer = eventlet.spawn_after(rest_s, self.dispatch)
+
+    def _check_accepted(self, request, now):
+        if not self._table.find(request.pool, request.version, now, request.exclude):
+            raise self._build_unaccepted_refusal(request, now)
+
+    def _build_unaccepted_refusal(self, request, now):
+        rest_s = self.get_rest_s(request, now)
+        if rest_s > 0.0:
+            return RequestRefused(ErrorKind.UPSTREAMS_RESTING, retry_after_s=rest_s)
+        return RequestRefused(ErrorKind.NO_UPSTREAM)
+
+    def _pop_in_vain(self, now):
+        """Remove and return the waiters that can't start before their deadlines."""
+
+        @functools.cache
+        def get_wait_s(pool, version, exclude):
+            staying = self._table.list_staying(pool, version, now, exclude)
+            return min((u.get_rest_s(now) for u in staying), default=math.inf)
+
+        def is_in_vain(waiter):
+            request = waiter.payload.request
+            wait_s = get_wait_s(request.pool, request.version, request.exclude)
+            return now + wait_s > request.start_deadline
+
+        return self._queue.pop_matching(is_in_vain)
+
     def _check_expected_wait(self, request, now):
         if now + self.expected_wait_s > request.start_deadline:
             raise self._build_refusal()
--- a/src/merlinnotch/_upstreams/attempts.py
+++ b/src/merlinnotch/_upstreams/attempts.py
@@ -16,7 +16,13 @@
 CLAIM_TIMEOUT_S = 2.0
 RELEASE_TIMEOUT_S = 1.0
 MAX_ROUNDS = 2
-"""Number of times that every upstream of a pool may be tried for one request."""
+"""Number of times that every upstream of a pool may be tried for one request.
+
+Upstreams that are then resting are not tried again.
+"""
+
+OVERLOAD_REASONS = (FailureReason.OVERLOADED, FailureReason.RESTING)
+"""Reasons that lower the limit of the upstream."""
 
 MAX_BROKEN_ATTEMPTS = 3
 """Number of attempts with a broken connection after which a request is not retried, as
@@ -40,6 +46,7 @@
         self._failed_ids = set()
         self._broken_count = 0
         self._failed_ids_by_version = {}
+        self._request = None
         state.budget.record_first_attempt()
 
     def acquire(self, pool, version, weight, priority, affinity_key, expected_s):
@@ -64,6 +71,7 @@
             exclude=frozenset(self._failed_ids),
             start_deadline=call.deadline - expected_s,
         )
+        self._request = request
         upstream = self._acquire_upstream(request)
         try:
             self._claim()
@@ -89,8 +97,8 @@
         if traits.counts_against_upstream:
             upstream.record_failure(now, traits.unreachable)
         if failure.reason is FailureReason.LEAVING:
-            self._state.loads.report_leaving(upstream.listed.id)
-        if failure.reason is FailureReason.OVERLOADED:
+            self._state.notices.report_leaving(upstream, now)
+        if failure.reason in OVERLOAD_REASONS:
             upstream.limit.record_overload()
         if traits.counts_against_version and version_id:
             self._failed_ids_by_version.setdefault(version_id, set()).add(
@@ -107,7 +115,7 @@
         """
         failed_ids = self._failed_ids_by_version.get(version_id, set())
         now = time.monotonic()
-        others = self._state.upstream_table.find(
+        others = self._state.upstream_table.list_staying(
             pool, version_id, now, exclude=failed_ids
         )
         return len(failed_ids) >= 2 or (bool(failed_ids) and not others)
@@ -127,6 +135,14 @@
             self._state.outbox.add_release(release)
 
     def _acquire_upstream(self, request):
+        try:
+            return self._acquire_in_rounds(request)
+        except RequestRefused as refusal:
+            if self._sent_before:
+                refusal.outcome = Outcome.UNKNOWN
+            raise
+
+    def _acquire_in_rounds(self, request):
         try:
             return self._state.admission.acquire(request)
         except RequestRefused as refusal:
@@ -181,9 +197,21 @@
             raise RequestRefused(ErrorKind.DEADLINE_EXCEEDED, outcome=outcome)
         if not self._state.budget.try_acquire():
             self._state.metrics.retries_denied.labels("budget").inc()
+            self._check_resting(failure, outcome)
             raise RequestRefused(traits.kind, outcome=outcome)
         self._state.metrics.retries.labels(reason).inc()
 
+    def _check_resting(self, failure, outcome):
+        """Raise :class:`RequestRefused` if all upstreams rest since *failure*."""
+        if failure.reason is not FailureReason.RESTING:
+            return
+        now = time.monotonic()
+        rest_s = self._state.admission.get_rest_s(self._request, now)
+        if rest_s > 0.0:
+            raise RequestRefused(
+                ErrorKind.UPSTREAMS_RESTING, outcome=outcome, retry_after_s=rest_s
+            )
+
 
 class ClaimNotGranted(MerlinnotchError):
     """The ledger did not grant the claim; *result* is its reply."""
--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -37,10 +37,12 @@
     """Sends requests to upstreams over pooled connections.
 
     A response has to repeat the id of its request, or else the attempt fails. A
-    connection is reused only if the response was read to its end.
+    connection is reused only if the response was read to its end. *notices* is the
+    :class:`ResponseNotices` that records what responses say about their upstream.
     """
 
-    def __init__(self, source_ip):
+    def __init__(self, source_ip, notices):
+        self._notices = notices
         options = {
             "num_pools": MAX_POOLS,
             "maxsize": MAX_IDLE_CONNECTIONS,
@@ -74,8 +76,9 @@
         wait_s = min(call.time_left_s, self._first_token_limit_s())
         response = self._send("POST", url, json.dumps(body), headers, wait_s, call)
         # If the caller disconnects, closing also cancels the request upstream.
-        with _translate_errors(), _releasing_connection(response):
-            _check_response(response, call.request_id)
+        with _translate_errors(), releasing_connection(response):
+            rest_s = self._record_notice(upstream, response, call.request_id)
+            _check_response(response, call.request_id, rest_s)
             _check_not_rejected(response)
             yield from self._read_events(response, call, started)
 
@@ -102,9 +105,10 @@
             call,
             new_connection=not call.idempotent,
         )
-        with _translate_errors(), _releasing_connection(response):
+        with _translate_errors(), releasing_connection(response):
+            rest_s = self._record_notice(upstream, response, call.request_id)
             data = response.read()
-            _check_response(response, call.request_id)
+            _check_response(response, call.request_id, rest_s)
             return response, data
 
     def _send(self, method, url, body, headers, wait_s, call, new_connection=False):
@@ -126,6 +130,16 @@
                 preload_content=False,
             )
 
+    def _record_notice(self, upstream, response, request_id):
+        """Record the notice of a response, before others may raise; return its rest.
+
+        A refusal may lack the id of its request. A response to another request may
+        come from another upstream.
+        """
+        if response.headers.get(REQUEST_ID_HEADER) not in (None, request_id):
+            return 0.0
+        return self._notices.record(upstream, response, time.monotonic()).rest_s
+
     def _make_single_use_manager(self):
         options = self._pool_manager.connection_pool_kw
         return urllib3.PoolManager(num_pools=1, **{**options, "maxsize": 1})
@@ -162,10 +176,12 @@
         self._mean_first_token_s += SMOOTHING * (duration_s - self._mean_first_token_s)
 
 
-def _check_response(response, request_id):
+def _check_response(response, request_id, rest_s):
     if response.headers.get(REQUEST_ID_HEADER) != request_id:
         raise AttemptFailed(FailureReason.MISMATCHED)
     reason = REASONS_BY_NOT_RUN_CODE.get(response.headers.get(NOT_RUN_HEADER, ""))
+    if reason is FailureReason.OVERLOADED and rest_s > 0.0:
+        raise AttemptFailed(FailureReason.RESTING, f"{rest_s:g} s of rest")
     if reason is not None:
         raise AttemptFailed(reason)
     if response.status >= 500:
@@ -201,7 +217,7 @@
 
 
 @contextlib.contextmanager
-def _releasing_connection(response):
+def releasing_connection(response):
     """Return the connection to its pool, closed unless the response was read fully."""
     try:
         yield
--- a/src/merlinnotch/_upstreams/failure.py
+++ b/src/merlinnotch/_upstreams/failure.py
@@ -11,6 +11,7 @@
 
     CONNECT = "connect"
     OVERLOADED = "overloaded"
+    RESTING = "resting"
     LEAVING = "leaving"
     VERSION_MISSING = "version_missing"
     ERROR = "error"
@@ -44,6 +45,7 @@
         False, True, False, ErrorKind.NO_UPSTREAM, True
     ),
     FailureReason.OVERLOADED: FailureTraits(False, False, False, ErrorKind.OVERLOADED),
+    FailureReason.RESTING: FailureTraits(False, False, False, ErrorKind.OVERLOADED),
     FailureReason.LEAVING: FailureTraits(False, False, False, ErrorKind.NO_UPSTREAM),
     FailureReason.VERSION_MISSING: FailureTraits(
         False, False, False, ErrorKind.NO_UPSTREAM
--- a/src/merlinnotch/_upstreams/loads.py
+++ b/src/merlinnotch/_upstreams/loads.py
@@ -7,8 +7,9 @@
 import urllib3
 
 from .._daemon.task import Task
-from .._links.gossiper import LEAVING, LOAD, VERSIONS
-from .._peers import Leaving, LoadedVersions, LoadReport, get_highest_ranked
+from .._links.gossiper import LOAD, VERSIONS
+from .._peers import LoadedVersions, LoadReport, get_highest_ranked
+from .client import releasing_connection
 
 LOAD_PATH = "/load"
 TIMEOUT_S = 0.5
@@ -33,19 +34,19 @@
         """The polling interval in seconds; grows with the upstreams in the zone."""
         return max(MIN_POLL_INTERVAL_S, self._zone_upstream_count / MAX_REPORTS_PER_S)
 
-    def __init__(self, settings, table, gossiper, metrics, on_change):
+    def __init__(self, settings, table, gossiper, metrics, on_change, notices):
         super().__init__()
         self._settings = settings
         self._table = table
         self._gossiper = gossiper
         self._metrics = metrics
         self._on_change = on_change
+        self._notices = notices
         self._http = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
         self._pending_ids = set()
         self._zone_upstream_count = 0
         gossiper.add_listener(LOAD, self._handle_load)
         gossiper.add_listener(VERSIONS, self._handle_versions)
-        gossiper.add_listener(LEAVING, self._handle_leaving)
 
     def run_once(self):
         now = time.monotonic()
@@ -59,31 +60,40 @@
             self._metrics.leaving.labels(listed.id).set(int(leaving))
             if listed.zone != zone or listed.id in self._pending_ids:
                 continue
+            if upstream.get_rest_s(now) > 0.0:
+                continue
             if get_highest_ranked(listed.id, members) in (
                 None,
                 self._settings.instance,
             ):
-                self._pending_ids.add(listed.id)
-                eventlet.spawn(self._poll, upstream)
+                self._start_poll(upstream)
 
-    def report_leaving(self, upstream_id):
-        """Publish that an upstream announced its shutdown, unless this is known."""
-        if self._table.record_leaving(upstream_id, time.monotonic()):
-            self._gossiper.publish(LEAVING, (upstream_id,), Leaving(time.time()))
+    def _start_poll(self, upstream):
+        self._pending_ids.add(upstream.listed.id)
+        eventlet.spawn(self._poll, upstream)
 
     def _poll(self, upstream):
-        listed = upstream.listed
-        url = f"http://{listed.address}{LOAD_PATH}"
         try:
-            reply = self._http.request("GET", url, timeout=TIMEOUT_S)
-            if reply.status == LEAVING_STATUS:
-                self.report_leaving(listed.id)
-            elif reply.status == 200:
-                self._publish(listed.id, json.loads(reply.data))
+            self.poll(upstream)
         except urllib3.exceptions.HTTPError:
             upstream.record_failure(time.monotonic(), unreachable=True)
         finally:
-            self._pending_ids.discard(listed.id)
+            self._pending_ids.discard(upstream.listed.id)
+
+    def poll(self, upstream):
+        """Read the load of *upstream* once and publish it."""
+        listed = upstream.listed
+        url = f"http://{listed.address}{LOAD_PATH}"
+        # The body is read later, so that a notice is recorded even if that fails.
+        reply = self._http.request("GET", url, timeout=TIMEOUT_S, preload_content=False)
+        with releasing_connection(reply):
+            now = time.monotonic()
+            self._notices.record(upstream, reply, now)
+            data = reply.read()
+        if reply.status == LEAVING_STATUS:
+            self._notices.report_leaving(upstream, now)
+        elif reply.status == 200:
+            self._publish(listed.id, json.loads(data))
 
     def _publish(self, upstream_id, load):
         at_ms = int(time.time() * 1000)
@@ -109,6 +119,3 @@
 
     def _handle_versions(self, key, loaded):
         self._table.record_versions(key[1], loaded.versions)
-
-    def _handle_leaving(self, key, leaving):
-        self._table.record_leaving(key[1], time.monotonic())
--- /dev/null
+++ b/src/merlinnotch/_upstreams/notices.py
@@ -0,0 +1,67 @@
+"""What responses say about their upstream, for this instance and its peers."""
+
+import math
+import time
+
+from .._links.gossiper import LEAVING
+from .._notices import NoticeRecorder, NoticeSource, log_leaving
+from .._peers import Leaving
+from ..platform import decode_notice
+
+REPUBLISH_INTERVAL_S = 30.0
+"""Peers keep a notice of leaving for a limited time."""
+
+
+class ResponseNotices:
+    """Records the notices in responses of upstreams, and tells peers who is leaving.
+
+    *on_change* is called after each notice of an upstream that wants no requests.
+    """
+
+    def __init__(self, table, gossiper, on_change):
+        self._table = table
+        self._gossiper = gossiper
+        self._on_change = on_change
+        self._recorder = NoticeRecorder(table.notices)
+        gossiper.add_listener(LEAVING, self._handle_leaving)
+
+    def record(self, upstream, response, now):
+        """Record and return the notice of a *response* that was received at *now*."""
+        notice = decode_notice(response.status, response.headers)
+        self._recorder.record(upstream.start, upstream.listed.id, notice, now)
+        if math.isinf(notice.leaving_s):
+            self._publish_leaving(upstream)
+        if notice.is_leaving or notice.rest_s > 0.0:
+            self._on_change()
+        return notice
+
+    def report_leaving(self, upstream, now):
+        """Record that *upstream* refuses requests because it is leaving."""
+        if not self._is_current(upstream):
+            return
+        upstream_id = upstream.listed.id
+        source = NoticeSource.ANSWER
+        if self._table.record_leaving(upstream_id, now, source):
+            log_leaving(upstream_id, source)
+        self._publish_leaving(upstream)
+        self._on_change()
+
+    def _publish_leaving(self, upstream):
+        """Tell peers that *upstream* is leaving, unless they were told recently."""
+        if not self._is_current(upstream):
+            return
+        upstream_id = upstream.listed.id
+        at = time.time()
+        previous = self._gossiper.state.get((LEAVING, upstream_id))
+        if previous is None or at - previous.at >= REPUBLISH_INTERVAL_S:
+            self._gossiper.publish(LEAVING, (upstream_id,), Leaving(at))
+
+    def _is_current(self, upstream):
+        """Return whether the upstream has not started anew since."""
+        return self._table.get(upstream.listed.id) is upstream
+
+    def _handle_leaving(self, key, leaving):
+        upstream_id = key[1]
+        if self._table.record_leaving(upstream_id, time.monotonic()):
+            log_leaving(upstream_id, NoticeSource.PEER)
+        self._on_change()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,6 +9,8 @@
 ``silent``   accept and never answer; also stalls open streams
 ``break_at`` abort each stream once, after this many tokens
 ``leaving``  reject new requests and report 410 for the load
+``announce_leaving``  say in answers to chats that it is leaving, and run them
+``rest_s``   reject new requests and ask for a rest of so many seconds
 ``late_ms``  delay before the reply starts
 ``token_ms`` time between tokens, overrides ``--token-ms``
 ``ignore_fence`` accept orders with an outdated fencing number
@@ -56,6 +58,8 @@
     silent: bool = False
     break_at: int = 0
     leaving: bool = False
+    announce_leaving: bool = False
+    rest_s: float = 0.0
     late_ms: float = 0.0
     token_ms: float = 0.0
     ignore_fence: bool = False
@@ -127,10 +131,14 @@
         body = request.json()
         request_id = request.headers.get("X_REQUEST_ID", "")
         headers = {"X-Request-Id": request_id, "Content-Type": "text/event-stream"}
+        if self.switches.announce_leaving:
+            headers["Server-Leaving"] = "1"
         refusal = self._find_refusal(body["model"])
         if refusal:
             self.refused += 1
             headers["X-Not-Run"] = refusal
+            if self.switches.rest_s:
+                headers["Retry-After"] = str(self.switches.rest_s)
             return Reply({"error": {"message": refusal}}, 503, headers)
         failure_mode = self._select_failure_mode(body, request_id)
         if failure_mode == "errors":
@@ -153,7 +161,8 @@
             return "leaving"
         if version not in self.options.versions:
             return "model_not_found"
-        if len(self._waiting) >= 4 * self.options.slots:
+        is_full = len(self._waiting) >= 4 * self.options.slots
+        if is_full or self.switches.rest_s:
             return "overloaded"
         return None
 
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -5,6 +5,7 @@
 import pytest
 
 from merlinnotch._config import Pool, load_catalogue
+from merlinnotch._notices import NoticeSource
 from merlinnotch._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
 from merlinnotch._peers import ListedUpstream
 from merlinnotch._routing import Upstream
@@ -43,7 +44,7 @@
     upstream.versions = frozenset(DESIRED_VERSIONS)
     assert plan_orders(catalogue, [upstream], 0.0) == []
     upstream.versions = frozenset({"swift@v3"})
-    upstream.leaving_since = 0.0
+    upstream.notices.record_leaving(upstream.start, NoticeSource.ANSWER, 0.0)
     assert plan_orders(catalogue, [upstream], 1.0) == []
 
 
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -10,6 +10,18 @@
     Then all 12 responses have status 200
     And "engine-0" got no new requests since
 
+  Scenario: An upstream that says in an answer that it leaves gets no new requests
+    Given engine "engine-0" says in its answers that it leaves
+    When 12 chat requests are sent through entry 0 in turn
+    Then all 12 responses have status 200
+    And "engine-0" ran at most 1 request
+
+  Scenario: Upstreams that ask for a rest get no requests until it ends
+    Given every engine asks for a rest of 60 seconds
+    When 5 chat requests are sent through entry 0 in turn
+    Then all 5 responses ask callers to return after 30 seconds or more
+    And every engine refused 1 request
+
   Scenario: An entry finishes streams and serves new connections after SIGTERM
     Given a slow stream through entry 0
     When entry 0 gets SIGTERM
--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -37,6 +37,47 @@
     assert state == world.context["state"]
 
 
+@given(parsers.parse('engine "{name}" says in its answers that it leaves'))
+def _announce_leaving(world, name):
+    world.configure_engine(name, announce_leaving=True)
+
+
+@given(parsers.parse("every engine asks for a rest of {seconds:d} seconds"))
+def _ask_for_rest(world, seconds):
+    world.configure_engines(rest_s=seconds)
+
+
+@when(parsers.parse("{count:d} chat requests are sent through entry {entry:d} in turn"))
+def _send_in_turn(world, count, entry):
+    world.responses += [world.send_chat(entry, "swift") for _ in range(count)]
+
+
+@then(parsers.parse('"{name}" ran at most {count:d} request'))
+def _check_run_count(world, name, count):
+    state = http.get(world.stack.engines[name], "/standin/state")
+    assert len(state["runs"]) <= count
+
+
+@then(
+    parsers.parse(
+        "all {count:d} responses ask callers to return after {seconds:d} seconds "
+        "or more"
+    )
+)
+def _check_retry_after(world, count, seconds):
+    kinds = [response.kind for response in world.responses]
+    assert kinds == ["upstreams_resting"] * count
+    for response in world.responses:
+        assert int(response.headers["Retry-After"]) >= seconds
+        assert int(response.headers["Retry-After-Ms"]) >= seconds * 1000
+
+
+@then(parsers.parse("every engine refused {count:d} request"))
+def _check_refused_count(world, count):
+    for address in world.stack.engines.values():
+        assert http.get(address, "/standin/state")["refused"] == count
+
+
 @given(parsers.parse("a slow stream through entry {entry:d}"))
 def _start_slow_stream(world, entry):
     for name in world.stack.engines:
--- /dev/null
+++ b/tests/upstreams/conftest.py
@@ -0,0 +1,117 @@
+"""An upstream server and the parts of the front door that send to it."""
+
+import http.server
+import threading
+import types
+
+import pytest
+
+from merlinnotch._links.gossiper import LEAVING, LOAD, VERSIONS
+from merlinnotch._peers import ListedUpstream
+from merlinnotch._routing import UpstreamTable
+from merlinnotch._upstreams.notices import ResponseNotices
+
+
+class UpstreamServer:
+    """Answers each request with *status*, *headers* and *body*, and counts them."""
+
+    def __init__(self):
+        self.status = 200
+        self.headers = {}
+        self.body = b"{}"
+        self.echoes_id = True
+        self.request_count = 0
+        server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), _make_handler_class(self)
+        )
+        self.address = f"127.0.0.1:{server.server_port}"
+        self._server = server
+        threading.Thread(target=server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def _make_handler_class(upstream):
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self):
+            self._answer()
+
+        def do_POST(self):
+            self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            self._answer()
+
+        def _answer(self):
+            upstream.request_count += 1
+            self.send_response(upstream.status)
+            request_id = self.headers.get("X-Request-Id")
+            if request_id and upstream.echoes_id:
+                self.send_header("X-Request-Id", request_id)
+            headers = {"Content-Length": str(len(upstream.body)), **upstream.headers}
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.end_headers()
+            self.wfile.write(upstream.body)
+
+        def log_message(self, *arguments):
+            """Log nothing."""
+
+    return Handler
+
+
+class FakeGossiper:
+    """Keeps what is published, by namespace, and has no peers."""
+
+    def __init__(self):
+        self.listeners = {}
+        self.state = {}
+        self.published = {LEAVING: [], LOAD: [], VERSIONS: []}
+        self.membership = types.SimpleNamespace(list_live=lambda now, zone: {})
+
+    def add_listener(self, namespace, listener):
+        self.listeners[namespace] = listener
+
+    def publish(self, namespace, subkey, value):
+        key = (namespace, *subkey)
+        self.state[key] = value
+        self.published[namespace].append(subkey)
+        self.listeners[namespace](key, value)
+
+
+@pytest.fixture
+def server():
+    server = UpstreamServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def table(server):
+    table = UpstreamTable("zone-a")
+    table.replace_listing(
+        [ListedUpstream("engine", server.address, "zone-a", "language", False)]
+    )
+    return table
+
+
+@pytest.fixture
+def upstream(table):
+    return table.get("engine")
+
+
+@pytest.fixture
+def gossiper():
+    return FakeGossiper()
+
+
+@pytest.fixture
+def changes():
+    return []
+
+
+@pytest.fixture
+def notices(table, gossiper, changes):
+    return ResponseNotices(table, gossiper, lambda: changes.append("changed"))
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -3,11 +3,14 @@
 Without them, a request that crashes the upstreams it runs on crashes the whole pool.
 """
 
+import time
 import types
 
 import pytest
 
 from merlinnotch._errors import ErrorKind, Outcome, RequestRefused
+from merlinnotch._peers import ListedUpstream
+from merlinnotch._routing import UpstreamTable
 from merlinnotch._upstreams.attempts import Attempts
 from merlinnotch._upstreams.failure import AttemptFailed, FailureReason
 
@@ -90,3 +93,80 @@
 def test_overloaded_upstreams_are_each_tried_twice(attempts):
     attempt_count, _ = fail_until_refused(attempts, FailureReason.OVERLOADED)
     assert attempt_count == 12
+
+
+class RestingAdmission:
+    """Like :class:`FakeAdmission`, for upstreams that rest once they were acquired."""
+
+    def __init__(self, upstreams):
+        self._waiting = list(upstreams)
+
+    def acquire(self, request):
+        if not self._waiting:
+            raise RequestRefused(ErrorKind.UPSTREAMS_RESTING, retry_after_s=3.0)
+        return self._waiting.pop(0)
+
+
+def test_resting_upstreams_get_no_second_round(attempts):
+    upstreams = [FakeUpstream(number) for number in range(6)]
+    attempts._state.admission = RestingAdmission(upstreams)
+    attempt_count, refusal = fail_until_refused(attempts, FailureReason.RESTING)
+    assert attempt_count == 6
+    assert refusal.kind is ErrorKind.UPSTREAMS_RESTING
+    assert refusal.outcome is Outcome.NOT_RUN
+
+
+def test_request_that_may_have_run_is_not_told_as_not_run_when_all_rest(attempts):
+    upstreams = [FakeUpstream(number) for number in range(2)]
+    attempts._state.admission = RestingAdmission(upstreams)
+    _, refusal = fail_until_refused(attempts, FailureReason.ERROR)
+    assert refusal.kind is ErrorKind.UPSTREAMS_RESTING
+    assert refusal.outcome is Outcome.UNKNOWN
+
+
+def test_request_that_is_not_idempotent_goes_on_after_a_rest(attempts):
+    attempts._call.idempotent = False
+    attempt_count, _ = fail_until_refused(attempts, FailureReason.RESTING)
+    assert attempt_count == 12
+
+
+def test_resting_is_a_retry_reason_of_its_own(attempts):
+    reasons = []
+    attempts._state.metrics.retries = types.SimpleNamespace(
+        labels=lambda reason: reasons.append(reason) or FakeCounter()
+    )
+    fail_until_refused(attempts, FailureReason.RESTING)
+    assert set(reasons) == {"resting"}
+
+
+def test_rest_takes_retries_from_the_budget(attempts):
+    attempts._state.budget.try_acquire = lambda: False
+    attempts._state.admission.get_rest_s = lambda request, now: 0.0
+    attempt_count, refusal = fail_until_refused(attempts, FailureReason.RESTING)
+    assert attempt_count == 1
+    assert refusal.kind is ErrorKind.OVERLOADED
+
+
+def test_caller_is_told_of_the_rest_if_the_budget_is_spent(attempts):
+    attempts._state.budget.try_acquire = lambda: False
+    attempts._state.admission.get_rest_s = lambda request, now: 3.0
+    attempt_count, refusal = fail_until_refused(attempts, FailureReason.RESTING)
+    assert attempt_count == 1
+    assert refusal.kind is ErrorKind.UPSTREAMS_RESTING
+    assert refusal.retry_after_s == 3.0
+
+
+def test_version_is_not_bad_while_its_other_upstreams_rest(attempts):
+    """Guards against a quarantine after the failure of one of several upstreams."""
+    table = UpstreamTable("zone-a")
+    table.replace_listing(
+        [
+            ListedUpstream(f"engine-{number}", "10.0.0.1:1", "zone-a", "pool", False)
+            for number in range(2)
+        ]
+    )
+    table.notices.record_rest(table.get("engine-1").start, 60.0, time.monotonic())
+    attempts._state.upstream_table = table
+    upstream = attempts.acquire("pool", "v1", 1.0, 5, "", 0.0)
+    attempts.record_failure(upstream, AttemptFailed(FailureReason.ERROR), "v1")
+    assert not attempts.is_version_bad("v1", "pool")
