Only a valid Retry-After of a 503 takes an upstream away for long

Cause: a Retry-After of a 429 counted as a rest of the upstream, and values without meaning were bounded by the longest rest.

--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -1,6 +1,7 @@
 """Decoding and encoding of the platform's header fields."""
 
 import math
+import re
 from dataclasses import dataclass
 
 from .._errors import MalformedMessage
@@ -27,11 +28,16 @@
 ANY_MODEL = "*"
 MISDIRECTED_STATUS = 421
 MS_PER_S = 1000.0
-REST_STATUSES = (429, 503)
-"""Statuses whose Retry-After asks this instance for a rest."""
+REST_STATUS = 503
+"""The status whose Retry-After asks this instance for a rest. That of a 429 is for the
+caller that is over its own limit."""
 DEFAULT_REST_S = 1.0
 """Rest in place of one that is not a number."""
 MAX_REST_S = 86_400.0
+OVERLONG_REST_S = 60.0
+"""Rest in place of one that is longer than MAX_REST_S: it is more likely an error, and
+a resting upstream can't correct it."""
+_NUMBER = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 DOUBTFUL_LEAVING_S = 5.0
 """How long an upstream counts as leaving whose notice has an unknown value."""
 MAX_QUOTED_LENGTH = 40
@@ -217,7 +223,7 @@
     """Return the :class:`UpstreamNotice` of a response; never raises."""
     leaving = _decode_leaving(fields.get(_LEAVING))
     rest = _Duration(0.0)
-    if status in REST_STATUSES:
+    if status == REST_STATUS:
         rest = _decode_rest(fields.get(_RETRY_AFTER))
     problems = [problem for problem in (leaving.problem, rest.problem) if problem]
     return UpstreamNotice(
@@ -240,14 +246,14 @@
     if text is None:
         return _Duration(0.0)
     problem = f"{_RETRY_AFTER} is {_quote(text)}"
-    try:
-        rest_s = float(text)
-    except ValueError:
-        return _Duration(DEFAULT_REST_S, problem)
-    if math.isnan(rest_s):
+    if not _NUMBER.fullmatch(text.strip()):
         return _Duration(DEFAULT_REST_S, problem)
-    bounded_s = min(max(0.0, rest_s), MAX_REST_S)
-    return _Duration(bounded_s, "" if bounded_s == rest_s else problem)
+    rest_s = float(text)
+    if rest_s < 0.0:
+        return _Duration(0.0, problem)
+    if rest_s > MAX_REST_S:
+        return _Duration(OVERLONG_REST_S, problem)
+    return _Duration(rest_s)
 
 
 def _quote(text):
