A renewed notice is not the first to be dropped when memory runs out

Notices were dropped in the order in which they had been created: an upstream that had rested long ago and is leaving now went before one that left earlier. Needs 4,096 starts. Found by a review; test_renewed_notice_is_not_dropped_for_an_older_one failed before.

--- a/src/merlinnotch/_notices/upstreams.py
+++ b/src/merlinnotch/_notices/upstreams.py
@@ -6,7 +6,8 @@
 from .notice import Notice
 
 MAX_STARTS = 4096
-"""Bounds memory. Notices without an effect are dropped first, then the oldest."""
+"""Bounds memory. Notices without an effect are dropped first, then the one that was
+renewed the longest time ago."""
 MIN_REST_CHANGE_S = 1.0
 """Requests refused together extend a rest by fractions of a second. These extensions
 are not reported as changes."""
@@ -84,6 +85,7 @@
             if len(self._notices) >= self._max_starts:
                 self._make_room(now)
             notice = self._notices[start] = Notice()
+        self._notices.move_to_end(start)
         return notice
 
     def _make_room(self, now):
--- a/tests/notices/test_upstreams.py
+++ b/tests/notices/test_upstreams.py
@@ -123,3 +123,13 @@
     for number in range(10):
         notices.record_leaving(number, NoticeSource.ANSWER, NOW)
     assert len(notices) == 3
+
+
+def test_renewed_notice_is_not_dropped_for_an_older_one():
+    notices = UpstreamNotices(max_starts=2)
+    notices.record_rest("a", 1.0, 0.0)
+    notices.record_leaving("b", NoticeSource.ANSWER, 0.0)
+    notices.record_leaving("a", NoticeSource.ANSWER, 5.0)
+    notices.record_leaving("c", NoticeSource.ANSWER, 6.0)
+    assert notices.is_leaving("a", 7.0)
+    assert not notices.is_leaving("b", 7.0)
