Deliver the first answer of a cascade if its escalation fails

A complete answer below the target, or one that was not rated in time, was discarded before its replacement was held. Where the larger version could then not be run or failed before its first event, the caller got its refusal. Costs are now added where an answer is complete, so that each is billed once, whether or not it is delivered.

--- a/src/merlinnotch/_callers/chat.py
+++ b/src/merlinnotch/_callers/chat.py
@@ -2,9 +2,11 @@
 
 import json
 import time
+from dataclasses import dataclass
 
 import eventlet
 
+from .._config import Version
 from .._errors import MerlinnotchError, RequestRefused
 from .._ledger import Bill
 from .._peers import Tally
@@ -19,6 +21,14 @@
 JSON_TYPE = "application/json"
 
 
+@dataclass(frozen=True)
+class ReadyAnswer:
+    """A complete answer that a later stage of its cascade should replace."""
+
+    version: Version
+    builder: CompletionBuilder
+
+
 class ChatRun:
     """One run of a request for a chat completion.
 
@@ -33,6 +43,7 @@
         self._attempts = Attempts(state, call)
         self._cost_micros = 0
         self._builder = None
+        self._ready = None
         self.version = None
         self.completion = None
         self.usage_event = None
@@ -72,20 +83,45 @@
         """Yield the events of the answer, then bill it.
 
         The events of a cascade's first stage are buffered until the answer is rated.
+        Its answer is delivered as well if the later stage fails before that stage's
+        first event is delivered. A call that isn't streamed gets no events before the
+        end, so that its later stage may fail at any time.
+
         Raises :class:`RequestRefused`; the events until then are an incomplete answer.
         """
         try:
-            for stage in self._plan.stages[:-1]:
-                if self._run_stage(stage):
-                    yield from self._builder.events
-                    self._finish()
-                    return
-            self._builder = CompletionBuilder()
-            yield from self._run_version(self._plan.stages[-1])
+            yield from self._run_stages()
             self._finish()
         finally:
             self._attempts.release_claim()
 
+    def _run_stages(self):
+        is_under_way = False
+        try:
+            for event in self._run_until_target():
+                is_under_way = True
+                yield event
+        except RequestRefused:
+            is_delivered = is_under_way and self._call.stream
+            if self._ready is None or is_delivered:
+                raise
+            yield from self._restore_ready()
+
+    def _run_until_target(self):
+        """Yield the events of the first answer that meets the target, or the last."""
+        for stage in self._plan.stages[:-1]:
+            if self._run_stage(stage):
+                yield from self._builder.events
+                return
+        self._builder = CompletionBuilder()
+        yield from self._run_version(self._plan.stages[-1])
+
+    def _restore_ready(self):
+        """Return the events of the ready answer, which becomes that of this run."""
+        self.version = self._ready.version
+        self._builder = self._ready.builder
+        return self._builder.events
+
     def _run_stage(self, version):
         """Run one stage of a cascade; return whether its answer meets the target."""
         self._builder = CompletionBuilder()
@@ -97,7 +133,7 @@
         )
         if score is not None and score >= self._call.kind.quality_target:
             return True
-        self._add_cost(version)
+        self._ready = ReadyAnswer(version, self._builder)
         return False
 
     def _run_version(self, version):
@@ -116,6 +152,7 @@
             finally:
                 self._state.admission.release(upstream)
             self._record_success(upstream, version, time.monotonic() - started)
+            self._add_cost(version)
             return
 
     def _stream(self, upstream, version):
@@ -172,7 +209,6 @@
 
         Returns once a peer has a copy of the bill.
         """
-        self._add_cost(self.version)
         self.usage_event = self._builder.usage_event
         self.completion = self._builder.build()
         call = self._call
@@ -191,6 +227,7 @@
             self._state.rating_client.submit(call, self.version, text)
 
     def _add_cost(self, version):
+        """Add the cost of a complete answer, whether or not it is delivered."""
         model = self._state.configurer.tracker.catalogue.models[version.model]
         cost = model.cost_per_1k_tokens * self._builder.tokens / TOKENS_PER_COST_UNIT
         self._cost_micros += round(cost * MICROS_PER_COST_UNIT)
