Wait for a silent engine until the deadline unless an attempt can follow

An answer was closed after 1 s without a token, or at the limit of the first token, and only then was it looked for whether the call may run again, whether the budget has a retry and whether another upstream takes work. Without them a healthy answer was cut. This is a look, not a reservation: a token for each open stream would leave none for those that need it.

The fake client of test_cascade.py names its new argument.

--- a/src/merlinnotch/_callers/chat.py
+++ b/src/merlinnotch/_callers/chat.py
@@ -1,5 +1,6 @@
 """Answers to requests for chat completions."""
 
+import functools
 import json
 import time
 from dataclasses import dataclass
@@ -157,8 +158,9 @@
 
     def _stream(self, upstream, version):
         builder = self._builder
+        may_retry = functools.partial(self._attempts.may_retry, upstream)
         events = self._state.client.stream(
-            upstream, self._call, version, builder.position
+            upstream, self._call, version, builder.position, may_retry
         )
         for event in events:
             if builder.add(event):
--- a/src/merlinnotch/_limits/budget.py
+++ b/src/merlinnotch/_limits/budget.py
@@ -20,9 +20,13 @@
         """Add *ratio* tokens."""
         self._tokens = min(self._tokens + self.ratio, self._capacity)
 
+    def can_acquire(self, min_remaining=0.0):
+        """Return whether :meth:`try_acquire` would take a token now."""
+        return self._tokens >= 1 + min_remaining
+
     def try_acquire(self, min_remaining=0.0):
         """Take one token if at least *min_remaining* remain; return whether it was."""
-        if self._tokens < 1 + min_remaining:
+        if not self.can_acquire(min_remaining):
             return False
         self._tokens -= 1
         return True
--- a/src/merlinnotch/_routing/upstream.py
+++ b/src/merlinnotch/_routing/upstream.py
@@ -68,6 +68,11 @@
         """Return whether it is neither leaving nor resting."""
         return not self.listed.leaving and self.notices.accepts_work(self.start, now)
 
+    def is_free(self, now):
+        """Return whether it takes another request now and isn't ejected."""
+        has_capacity = self.in_flight < self.limit.value
+        return has_capacity and not self.is_ejected(now) and self.accepts_work(now)
+
     def is_ejected(self, now):
         """Return whether it is ejected after consecutive failures."""
         return now < self.ejected_until
--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -98,12 +98,17 @@
 
     def find(self, pool, version, now, exclude=()):
         """Return the upstreams that may get new requests, regardless of load."""
-        suitable = self._list_suitable(pool, version, exclude)
+        suitable = self._iterate_suitable(pool, version, exclude)
         return [upstream for upstream in suitable if upstream.accepts_work(now)]
 
+    def has_free(self, pool, version, now, exclude=()):
+        """Return whether an upstream that isn't ejected may get a request at once."""
+        suitable = self._iterate_suitable(pool, version, exclude)
+        return any(upstream.is_free(now) for upstream in suitable)
+
     def list_staying(self, pool, version, now, exclude=()):
         """Return the upstreams that may get new requests now or after their rests."""
-        suitable = self._list_suitable(pool, version, exclude)
+        suitable = self._iterate_suitable(pool, version, exclude)
         return [upstream for upstream in suitable if not upstream.is_leaving(now)]
 
     def get_shortest_rest_s(self, now):
@@ -139,14 +144,14 @@
             self.notices.drop(previous.start)
         self._upstreams[row.id] = Upstream(row, self.notices)
 
-    def _list_suitable(self, pool, version, exclude):
-        return [
+    def _iterate_suitable(self, pool, version, exclude):
+        return (
             upstream
             for upstream in self._upstreams.values()
             if upstream.listed.pool == pool
             and upstream.listed.id not in exclude
             and upstream.has_version(version)
-        ]
+        )
 
     def _estimate_load(self, upstream, now):
         """Return the estimated load of an upstream, with the penalty for other zones.
--- a/src/merlinnotch/_upstreams/admission.py
+++ b/src/merlinnotch/_upstreams/admission.py
@@ -67,6 +67,16 @@
         self._check_expected_wait(request, now)
         return self._wait_in_queue(request)
 
+    def can_start(self, request, now):
+        """Return whether *request* would get an upstream that is free now.
+
+        Nothing is reserved.
+        """
+        has_free = self._table.has_free(
+            request.pool, request.version, now, request.exclude
+        )
+        return has_free and now + self.expected_wait_s <= request.start_deadline
+
     def release(self, upstream):
         """End a request at *upstream* and dispatch queued requests."""
         upstream.in_flight -= 1
--- a/src/merlinnotch/_upstreams/attempts.py
+++ b/src/merlinnotch/_upstreams/attempts.py
@@ -80,6 +80,22 @@
             raise
         return upstream
 
+    def may_retry(self, upstream, now):
+        """Return whether another attempt can follow one that *upstream* may have run.
+
+        Nothing is reserved: each attempt under way would otherwise keep a token from
+        those that need it. Other calls may therefore use up the budget or the
+        upstreams before this attempt is given up.
+        """
+        if not self._call.idempotent or not self._state.budget.can_acquire():
+            return False
+        tried_ids = self._failed_ids | {upstream.listed.id}
+        if self._can_start(tried_ids, now):
+            return True
+        return self._starts_round(tried_ids, now) and self._can_start(
+            {upstream.listed.id}, now
+        )
+
     def record_success(self, upstream):
         """Record that an attempt returned a complete answer."""
         upstream.record_success()
@@ -134,6 +150,19 @@
         if result is None:
             self._state.outbox.add_release(release)
 
+    def _can_start(self, excluded_ids, now):
+        request = dataclasses.replace(self._request, exclude=frozenset(excluded_ids))
+        return self._state.admission.can_start(request, now)
+
+    def _starts_round(self, tried_ids, now):
+        """Return whether the next attempt starts a round, after *tried_ids*."""
+        if not self._remaining_rounds:
+            return False
+        request = self._request
+        return not self._state.upstream_table.find(
+            request.pool, request.version, now, tried_ids
+        )
+
     def _acquire_upstream(self, request):
         try:
             return self._acquire_in_rounds(request)
--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -7,10 +7,11 @@
 import urllib3
 
 from .failure import AttemptFailed, FailureReason
+from .silence import MIN_LIMIT_S, SilenceLimiter
 
 CONNECT_TIMEOUT_S = 0.5
 INTER_TOKEN_TIMEOUT_S = 1.0
-"""Maximum time between two tokens of an answer."""
+"""Maximum time between two tokens of an answer if another attempt can follow."""
 
 MIN_FIRST_TOKEN_LIMIT_S = 1.0
 MAX_FIRST_TOKEN_LIMIT_S = 10.0
@@ -52,11 +53,13 @@
         self._pool_manager = urllib3.PoolManager(**options)
         self._mean_first_token_s = MIN_FIRST_TOKEN_LIMIT_S / FIRST_TOKEN_LIMIT_FACTOR
 
-    def stream(self, upstream, call, version, position):
+    def stream(self, upstream, call, version, position, may_retry=lambda now: False):
         """Yield the server-sent events of a chat completion, as bytes.
 
         Asks the upstream to resume after *position* events, which earlier attempts
-        received. Raises :class:`AttemptFailed`.
+        received. An upstream that is silent is given up before the call's deadline
+        only if *may_retry*, called with the time, says that another attempt can follow.
+        Raises :class:`AttemptFailed`.
         """
         body = {
             **call.body,
@@ -73,14 +76,15 @@
             headers["X-Resume-From"] = str(position)
         url = f"http://{upstream.listed.address}/v1/chat/completions"
         started = time.monotonic()
-        wait_s = min(call.time_left_s, self._first_token_limit_s())
+        limiter = SilenceLimiter(call, may_retry)
+        wait_s = limiter.compute_limit(self._first_token_limit_s(), started)
         response = self._send("POST", url, json.dumps(body), headers, wait_s, call)
         # If the caller disconnects, closing also cancels the request upstream.
         with _translate_errors(), releasing_connection(response):
             rest_s = self._record_notice(upstream, response, call.request_id)
             _check_response(response, call.request_id, rest_s)
             _check_not_rejected(response)
-            yield from self._read_events(response, call, started)
+            yield from self._read_events(response, limiter, started)
 
     def call_service(self, upstream, call):
         """Return the response of a plain service, and its body.
@@ -113,7 +117,8 @@
 
     def _send(self, method, url, body, headers, wait_s, call, new_connection=False):
         timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, max(0.01, wait_s)), read=max(0.01, wait_s)
+            connect=min(CONNECT_TIMEOUT_S, max(MIN_LIMIT_S, wait_s)),
+            read=max(MIN_LIMIT_S, wait_s),
         )
         manager = (
             self._make_single_use_manager() if new_connection else self._pool_manager
@@ -144,16 +149,10 @@
         options = self._pool_manager.connection_pool_kw
         return urllib3.PoolManager(num_pools=1, **{**options, "maxsize": 1})
 
-    def _read_events(self, response, call, started):
+    def _read_events(self, response, limiter, started):
         buffer = b""
-        is_first, done = True, False
-        for chunk in response.read_chunked():
-            if is_first:
-                is_first = False
-                self._record_first_token(time.monotonic() - started)
-                _set_read_timeout(
-                    response, min(INTER_TOKEN_TIMEOUT_S, call.time_left_s)
-                )
+        done = False
+        for chunk in self._read_chunks(response, limiter, started):
             buffer += chunk
             events = buffer.split(EVENT_END)
             buffer = events.pop()
@@ -168,11 +167,29 @@
         if not done:
             raise AttemptFailed(FailureReason.BROKEN, "the stream ended before [DONE]")
 
+    def _read_chunks(self, response, limiter, started):
+        chunks = response.read_chunked()
+        limit_s = self._first_token_limit_s()
+        is_first = True
+        while True:
+            timeout_s = limiter.compute_limit(limit_s, time.monotonic())
+            _set_read_timeout(response, timeout_s)
+            chunk = next(chunks, None)
+            if chunk is None:
+                return
+            if is_first:
+                is_first = False
+                self._record_first_token(time.monotonic() - started)
+                limit_s = INTER_TOKEN_TIMEOUT_S
+            yield chunk
+
     def _first_token_limit_s(self):
         limit = self._mean_first_token_s * FIRST_TOKEN_LIMIT_FACTOR
         return min(MAX_FIRST_TOKEN_LIMIT_S, max(MIN_FIRST_TOKEN_LIMIT_S, limit))
 
     def _record_first_token(self, duration_s):
+        # A single wait until a late deadline must not raise the limit for others.
+        duration_s = min(MAX_FIRST_TOKEN_LIMIT_S, duration_s)
         self._mean_first_token_s += SMOOTHING * (duration_s - self._mean_first_token_s)
 
 
@@ -197,7 +214,7 @@
 def _set_read_timeout(response, timeout_s):
     sock = getattr(response.connection, "sock", None)
     if sock is not None:
-        sock.settimeout(max(0.01, timeout_s))
+        sock.settimeout(timeout_s)
 
 
 @contextlib.contextmanager
--- a/tests/callers/test_cascade.py
+++ b/tests/callers/test_cascade.py
@@ -33,7 +33,7 @@
         self.events = {SMALL.id: SMALL_EVENTS, LARGE.id: LARGE_EVENTS}
         self.failures = {}
 
-    def stream(self, upstream, call, version, position, *query):
+    def stream(self, upstream, call, version, position, may_retry):
         yield from self.events[version.id]
         if version.id in self.failures:
             raise AttemptFailed(self.failures[version.id])
