Take no retry from the budget for an upstream that can't be connected to

Nothing was sent there, yet each such failure took a token, so that one call emptied the budget for others while it met upstreams that refused. The retry of a call now stays with it until it is sent. The rounds and the deadline still bound the connections.

tests/upstreams/test_attempts.py: the five new tests failed before, four with RequestRefused as the budget of two was spent, the last with 3 attempts instead of 12.

--- a/src/merlinnotch/_upstreams/attempts.py
+++ b/src/merlinnotch/_upstreams/attempts.py
@@ -33,7 +33,8 @@
     """The attempts to run one request.
 
     A request that is not idempotent is not retried once an upstream may have run it.
-    Every other retry takes a token of the retry budget.
+    Every other retry takes a token of the retry budget, which it keeps for its next
+    upstream if a connection can't be opened.
     """
 
     def __init__(self, state, call):
@@ -224,12 +225,20 @@
         if call.time_left_s <= 0:
             self._state.metrics.retries_denied.labels("deadline").inc()
             raise RequestRefused(ErrorKind.DEADLINE_EXCEEDED, outcome=outcome)
-        if not self._state.budget.try_acquire():
+        if not self._acquire_retry(failure):
             self._state.metrics.retries_denied.labels("budget").inc()
             self._check_resting(failure, outcome)
             raise RequestRefused(traits.kind, outcome=outcome)
         self._state.metrics.retries.labels(reason).inc()
 
+    def _acquire_retry(self, failure):
+        """Return whether the budget allows a retry after *failure*.
+
+        Without a connection nothing was sent, so that the attempt is still to be made.
+        """
+        is_unsent = failure.reason is FailureReason.CONNECT
+        return is_unsent or self._state.budget.try_acquire()
+
     def _check_resting(self, failure, outcome):
         """Raise :class:`RequestRefused` if all upstreams rest since *failure*."""
         if failure.reason is not FailureReason.RESTING:
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from merlinnotch._errors import ErrorKind, Outcome, RequestRefused
+from merlinnotch._limits import RetryBudget
 from merlinnotch._peers import ListedUpstream
 from merlinnotch._routing import UpstreamTable
 from merlinnotch._upstreams.attempts import Attempts
@@ -147,6 +148,61 @@
     assert refusal.kind is ErrorKind.OVERLOADED
 
 
+@pytest.fixture
+def budget(attempts):
+    """Let the attempts use a budget of two retries."""
+    attempts._state.budget = RetryBudget(0.0, reserve=2)
+    return attempts._state.budget
+
+
+def fail_next(attempts, reason):
+    upstream = attempts.acquire("pool", "v1", 1.0, 5, "", 0.0)
+    attempts._call.may_have_been_sent = True
+    attempts.record_failure(upstream, AttemptFailed(reason))
+
+
+def count_retries(budget):
+    """Return how many retries *budget* has left, and take them."""
+    count = 0
+    while budget.try_acquire():
+        count += 1
+    return count
+
+
+def test_upstreams_that_refuse_connections_take_no_retries(attempts, budget):
+    for _ in range(4):
+        fail_next(attempts, FailureReason.CONNECT)
+    assert count_retries(budget) == 2
+
+
+def test_retry_is_kept_while_upstreams_refuse_connections(attempts, budget):
+    fail_next(attempts, FailureReason.ERROR)
+    for _ in range(3):
+        fail_next(attempts, FailureReason.CONNECT)
+    assert count_retries(budget) == 1
+
+
+def test_retry_that_was_sent_after_refused_connections_is_used_up(attempts, budget):
+    fail_next(attempts, FailureReason.ERROR)
+    fail_next(attempts, FailureReason.CONNECT)
+    fail_next(attempts, FailureReason.ERROR)
+    assert count_retries(budget) == 0
+
+
+def test_refused_connection_is_retried_with_a_spent_budget(attempts, budget):
+    count_retries(budget)
+    fail_next(attempts, FailureReason.CONNECT)
+    with pytest.raises(RequestRefused):
+        fail_next(attempts, FailureReason.ERROR)
+
+
+def test_upstreams_that_refuse_connections_are_each_tried_twice(attempts, budget):
+    attempt_count, refusal = fail_until_refused(attempts, FailureReason.CONNECT)
+    assert attempt_count == 12
+    assert refusal.kind is ErrorKind.NO_UPSTREAM
+    assert refusal.outcome is Outcome.NOT_RUN
+
+
 def test_caller_is_told_of_the_rest_if_the_budget_is_spent(attempts):
     attempts._state.budget.try_acquire = lambda: False
     attempts._state.admission.get_rest_s = lambda request, now: 3.0
