Change the read timeout also where the connection closes after a response

http.client drops the socket of such a connection with the head, so that the timeout stayed at what it was when the request was sent: an answer was cut though no attempt could follow any more, or a silent engine was kept though one could.

tests/upstreams/test_silence.py: of the four new tests the two with 'Connection: close' failed before, one with AttemptFailed(silent), one without any failure.

--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from .connections import make_pool_manager, set_read_timeout
 from .failure import AttemptFailed, FailureReason
 from .silence import MIN_LIMIT_S, SilenceLimiter
 
@@ -50,7 +51,7 @@
             "retries": False,
             "source_address": (source_ip, 0),
         }
-        self._pool_manager = urllib3.PoolManager(**options)
+        self._pool_manager = make_pool_manager(**options)
         self._mean_first_token_s = MIN_FIRST_TOKEN_LIMIT_S / FIRST_TOKEN_LIMIT_FACTOR
 
     def stream(self, upstream, call, version, position, may_retry=lambda now: False):
@@ -147,7 +148,7 @@
 
     def _make_single_use_manager(self):
         options = self._pool_manager.connection_pool_kw
-        return urllib3.PoolManager(num_pools=1, **{**options, "maxsize": 1})
+        return make_pool_manager(num_pools=1, **{**options, "maxsize": 1})
 
     def _read_events(self, response, limiter, started):
         buffer = b""
@@ -173,7 +174,7 @@
         is_first = True
         while True:
             timeout_s = limiter.compute_limit(limit_s, time.monotonic())
-            _set_read_timeout(response, timeout_s)
+            set_read_timeout(response, timeout_s)
             chunk = next(chunks, None)
             if chunk is None:
                 return
@@ -211,12 +212,6 @@
         raise AttemptFailed(FailureReason.REJECTED, detail)
 
 
-def _set_read_timeout(response, timeout_s):
-    sock = getattr(response.connection, "sock", None)
-    if sock is not None:
-        sock.settimeout(timeout_s)
-
-
 @contextlib.contextmanager
 def _translate_errors():
     """Raise the errors of urllib3 as :class:`AttemptFailed`."""
--- a/tests/upstreams/test_silence.py
+++ b/tests/upstreams/test_silence.py
@@ -15,6 +15,7 @@
 from merlinnotch._upstreams.attempts import Attempts
 from merlinnotch._upstreams.client import UpstreamClient
 from merlinnotch._upstreams.failure import AttemptFailed, FailureReason
+from merlinnotch._upstreams.silence import CHECK_INTERVAL_S
 
 PAUSE_S = 1.3
 """Longer than the limits of the first token and of the time between two tokens."""
@@ -28,6 +29,7 @@
     """Sends two events, the first after *first_pause_s*, the other after *pause_s*."""
 
     def __init__(self):
+        self.closes_connections = False
         self.first_pause_s = 0.0
         self.pause_s = 0.0
         server = http.server.ThreadingHTTPServer(
@@ -54,6 +56,8 @@
             self.send_response(200)
             self.send_header("X-Request-Id", self.headers["X-Request-Id"])
             self.send_header("Transfer-Encoding", "chunked")
+            if pausing.closes_connections:
+                self.send_header("Connection", "close")
             self.end_headers()
             self._send_chunk(EVENTS[0] + b"\n\n")
             time.sleep(pausing.pause_s)
@@ -125,11 +129,11 @@
         while self.budget.try_acquire():
             pass
 
+    def stream(self):
+        return self.client.stream(self.upstream, self.call, VERSION, 0, self.may_retry)
+
     def receive(self):
-        events = self.client.stream(
-            self.upstream, self.call, VERSION, 0, self.may_retry
-        )
-        return list(events)
+        return list(self.stream())
 
 
 @pytest.fixture
@@ -218,6 +222,35 @@
         stack.attempts.record_failure(stack.upstream, raised.value)
 
 
+@pytest.mark.parametrize("closes_connections", [False, True])
+def test_answer_is_not_cut_if_the_last_retry_is_used_while_it_runs(
+    stack, pausing_server, closes_connections
+):
+    """Guards against a limit that can't be changed as the socket isn't found."""
+    pausing_server.closes_connections = closes_connections
+    pausing_server.pause_s = CHECK_INTERVAL_S + PAUSE_S
+    events = stack.stream()
+    assert next(events) == EVENTS[0]
+    stack.spend_budget()
+    time.sleep(CHECK_INTERVAL_S)
+    assert list(events) == EVENTS[1:]
+
+
+@pytest.mark.parametrize("closes_connections", [False, True])
+def test_silence_is_noticed_once_another_attempt_can_follow(
+    stack, pausing_server, closes_connections
+):
+    pausing_server.closes_connections = closes_connections
+    pausing_server.pause_s = CHECK_INTERVAL_S + PAUSE_S
+    stack.other.in_flight = 1_000
+    events = stack.stream()
+    assert next(events) == EVENTS[0]
+    stack.other.in_flight = 0
+    time.sleep(CHECK_INTERVAL_S)
+    with pytest.raises(AttemptFailed):
+        next(events)
+
+
 def test_retry_can_follow_in_a_second_round(stack):
     """Guards against a silent upstream that is kept while a tried one is free."""
     stack.attempts.record_failure(stack.other, AttemptFailed(FailureReason.OVERLOADED))
