Return a retry that is never sent to the budget

A call took a token for its retry before it had an upstream. Where none was to be had, or its connections failed until the deadline, the token was lost, so that calls which met a full or resting pool left no retries for others.

tests/upstreams/test_attempts.py: of the seven new tests the five of retries that were not sent failed before, with one token left instead of two; the other two guard against tokens returned for nothing. The fake budget of the fixture gets a release().

--- a/src/merlinnotch/_limits/budget.py
+++ b/src/merlinnotch/_limits/budget.py
@@ -30,3 +30,7 @@
             return False
         self._tokens -= 1
         return True
+
+    def release(self):
+        """Return the token of a retry that was not sent."""
+        self._tokens = min(self._tokens + 1, self._capacity)
--- a/src/merlinnotch/_upstreams/attempts.py
+++ b/src/merlinnotch/_upstreams/attempts.py
@@ -33,8 +33,9 @@
     """The attempts to run one request.
 
     A request that is not idempotent is not retried once an upstream may have run it.
-    Every other retry takes a token of the retry budget, which it keeps for its next
-    upstream if a connection can't be opened.
+    Every other retry takes a token of the retry budget, which it holds until it is
+    sent, also while connections to upstreams can't be opened. A retry that is never
+    sent returns its token.
     """
 
     def __init__(self, state, call):
@@ -46,6 +47,7 @@
         self._remaining_rounds = MAX_ROUNDS - 1
         self._failed_ids = set()
         self._broken_count = 0
+        self._holds_retry = False
         self._failed_ids_by_version = {}
         self._request = None
         state.budget.record_first_attempt()
@@ -73,13 +75,11 @@
             start_deadline=call.deadline - expected_s,
         )
         self._request = request
-        upstream = self._acquire_upstream(request)
         try:
-            self._claim()
+            return self._acquire_claimed(request)
         except BaseException:
-            self._state.admission.release(upstream)
+            self._return_retry()
             raise
-        return upstream
 
     def may_retry(self, upstream, now):
         """Return whether another attempt can follow one that *upstream* may have run.
@@ -99,6 +99,7 @@
 
     def record_success(self, upstream):
         """Record that an attempt returned a complete answer."""
+        self._holds_retry = False
         upstream.record_success()
 
     def record_failure(self, upstream, failure, version_id=None):
@@ -108,6 +109,8 @@
         """
         now = time.monotonic()
         traits = failure.traits
+        if failure.reason is not FailureReason.CONNECT:
+            self._holds_retry = False
         self._failed_ids.add(upstream.listed.id)
         if failure.reason is FailureReason.BROKEN:
             self._broken_count += 1
@@ -123,7 +126,11 @@
             )
         if not traits.may_have_run:
             self._call.may_have_been_sent = self._sent_before
-        self._check_retry(failure)
+        try:
+            self._check_retry(failure)
+        except RequestRefused:
+            self._return_retry()
+            raise
 
     def is_version_bad(self, version_id, pool):
         """Return whether a version failed at two upstreams, or at its only one.
@@ -164,6 +171,15 @@
             request.pool, request.version, now, tried_ids
         )
 
+    def _acquire_claimed(self, request):
+        upstream = self._acquire_upstream(request)
+        try:
+            self._claim()
+        except BaseException:
+            self._state.admission.release(upstream)
+            raise
+        return upstream
+
     def _acquire_upstream(self, request):
         try:
             return self._acquire_in_rounds(request)
@@ -236,8 +252,16 @@
 
         Without a connection nothing was sent, so that the attempt is still to be made.
         """
-        is_unsent = failure.reason is FailureReason.CONNECT
-        return is_unsent or self._state.budget.try_acquire()
+        if failure.reason is FailureReason.CONNECT:
+            return True
+        self._holds_retry = self._state.budget.try_acquire()
+        return self._holds_retry
+
+    def _return_retry(self):
+        """Return the token of a retry that was not sent to the budget."""
+        if self._holds_retry:
+            self._holds_retry = False
+            self._state.budget.release()
 
     def _check_resting(self, failure, outcome):
         """Raise :class:`RequestRefused` if all upstreams rest since *failure*."""
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -7,6 +7,7 @@
 import types
 
 import pytest
+from greenlet import GreenletExit
 
 from merlinnotch._errors import ErrorKind, Outcome, RequestRefused
 from merlinnotch._limits import RetryBudget
@@ -53,7 +54,9 @@
     state = types.SimpleNamespace(
         admission=FakeAdmission([FakeUpstream(number) for number in range(6)]),
         budget=types.SimpleNamespace(
-            record_first_attempt=lambda: None, try_acquire=lambda: True
+            record_first_attempt=lambda: None,
+            try_acquire=lambda: True,
+            release=lambda: None,
         ),
         loads=types.SimpleNamespace(report_leaving=lambda upstream_id: None),
         metrics=types.SimpleNamespace(
@@ -189,6 +192,57 @@
     assert count_retries(budget) == 0
 
 
+def refuse_all(attempts, error):
+    def acquire(request):
+        raise error
+
+    attempts._state.admission = types.SimpleNamespace(acquire=acquire)
+
+
+@pytest.mark.parametrize("connect_count", [0, 1])
+@pytest.mark.parametrize(
+    "error", [RequestRefused(ErrorKind.OVERLOADED), GreenletExit()], ids=type
+)
+def test_retry_that_gets_no_upstream_is_returned(
+    attempts, budget, error, connect_count
+):
+    """Guards against a budget that is used up by retries that never left."""
+    fail_next(attempts, FailureReason.ERROR)
+    for _ in range(connect_count):
+        fail_next(attempts, FailureReason.CONNECT)
+    refuse_all(attempts, error)
+    with pytest.raises(type(error)):
+        attempts.acquire("pool", "v1", 1.0, 5, "", 0.0)
+    assert count_retries(budget) == 2
+
+
+def test_retry_without_time_to_send_it_is_returned(attempts, budget):
+    fail_next(attempts, FailureReason.ERROR)
+    attempts._call.time_left_s = 0.0
+    with pytest.raises(RequestRefused):
+        fail_next(attempts, FailureReason.CONNECT)
+    assert count_retries(budget) == 2
+
+
+def test_first_attempt_that_gets_no_upstream_returns_no_retry(attempts, budget):
+    refuse_all(attempts, RequestRefused(ErrorKind.OVERLOADED))
+    with pytest.raises(RequestRefused):
+        attempts.acquire("pool", "v1", 1.0, 5, "", 0.0)
+    assert count_retries(budget) == 2
+
+
+def test_stage_that_follows_a_sent_retry_returns_no_retry(attempts, budget):
+    """Guards against a cascade whose second stage is refused."""
+    fail_next(attempts, FailureReason.ERROR)
+    upstream = attempts.acquire("pool", "v1", 1.0, 5, "", 0.0)
+    upstream.record_success = lambda: None
+    attempts.record_success(upstream)
+    refuse_all(attempts, RequestRefused(ErrorKind.OVERLOADED))
+    with pytest.raises(RequestRefused):
+        attempts.acquire("pool", "v2", 1.0, 5, "", 0.0)
+    assert count_retries(budget) == 1
+
+
 def test_refused_connection_is_retried_with_a_spent_budget(attempts, budget):
     count_retries(budget)
     fail_next(attempts, FailureReason.CONNECT)
