--- a/tests/scenarios/test_ledger.py
+++ b/tests/scenarios/test_ledger.py
@@ -1,13 +1,18 @@
 """Steps of the scenarios about the ledger."""
 
+import collections
 import time
 
+import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from standins.stack import wait_for
 
 scenarios("ledger.feature")
 
+MAX_LOG_LINES = 40
+"""Of each entry, the last ones."""
+
 
 @then(parsers.parse('booking "{key}" has run at most once'))
 def _check_at_most_one_run(world, key):
@@ -20,10 +25,29 @@
         world.responses.append(world.send_booking(1, key))
         return world.responses[-1].status == 200
 
-    wait_for(retry, "success of the booking")
+    try:
+        wait_for(retry, "success of the booking")
+    except TimeoutError:
+        pytest.fail(describe_failed_booking(world, key))
     assert world.count_service_runs(key) == 1
 
 
+def describe_failed_booking(world, key):
+    """Return what all responses were, and the log lines of entries that name *key*."""
+    answers = collections.Counter(
+        (response.status, response.kind, response.outcome)
+        for response in world.responses
+    )
+    lines = [f"{count} x {answer}" for answer, count in answers.items()]
+    for path in sorted(world.stack.folder.glob("*.log")):
+        log = path.read_text(errors="replace").splitlines()
+        lines += [f"{path.name}: {line}" for line in log if key in line][
+            -MAX_LOG_LINES:
+        ]
+    runs = world.count_service_runs(key)
+    return "\n".join([f"booking {key} never succeeded, {runs} runs", *lines])
+
+
 @when(parsers.parse("{count:d} bookings are sent through entry {entry:d}"))
 def _send_bookings(world, count, entry):
     for number in range(count):
