--- a/tests/callers/test_cascade.py
+++ b/tests/callers/test_cascade.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from merlinnotch._callers.chat import ChatRun
+from merlinnotch._callers.chat_run import ChatRun
 from merlinnotch._errors import ErrorKind, RequestRefused
 from merlinnotch._peers import Tally
 from merlinnotch._upstreams.failure import AttemptFailed, FailureReason
