--- a/tests/ablate.py
+++ b/tests/ablate.py
@@ -113,10 +113,10 @@
         "test_answers.py::test_a_broken_stream_is_resumed_on_the_same_version",
     ),
     Ablation(
-        "first-token timeout",
-        f"{SOURCE}/_upstreams/client.py",
-        "wait_s = min(call.time_left_s, self._first_token_limit_s())",
-        "wait_s = call.time_left_s",
+        "time limits on silent engines",
+        f"{SOURCE}/_upstreams/silence.py",
+        "return min(limit_s, time_left_s) if self._is_retryable else time_left_s",
+        "return time_left_s",
         "test_answers.py::test_an_engine_stops_sending_in_the_middle_of_its_responses",
     ),
     Ablation(
