Let leaving lapse at the second front door unless a response renews it

An engine that restarted at the same id and address between two listings counted as leaving for ever after a notice in a response header. Its starts can't be told apart, so such a notice now holds for LEAVING_TTL_S, like that of a peer. Load polls go on and renew it. Rests hold for the time asked for.

--- a/src/merlinnotch/_notices/upstreams.py
+++ b/src/merlinnotch/_notices/upstreams.py
@@ -22,23 +22,29 @@
 
     A rest is extended by a later one, but never shortened, as responses arrive in any
     order.
+
+    Leaving holds for *max_leaving_s* at most, unless it is renewed.
     """
 
-    def __init__(self, max_starts=MAX_STARTS):
+    def __init__(self, max_starts=MAX_STARTS, max_leaving_s=math.inf):
         self._max_starts = max_starts
+        self._max_leaving_s = max_leaving_s
         self._notices = collections.OrderedDict()
 
     def __len__(self):
         return len(self._notices)
 
     def record_leaving(self, start, source, now, for_s=math.inf):
-        """Record that *start* is leaving, for *for_s* seconds at least.
+        """Record that *start* is leaving, for *for_s* seconds from *now*.
+
+        A notice that holds for longer is not shortened.
 
         Return whether *source*, a :class:`NoticeSource`, had not said so before.
         """
         notice = self._get_or_create(start, now)
         current_until = notice.leaving_until.get(source, -math.inf)
-        notice.leaving_until[source] = max(current_until, now + for_s)
+        until = now + min(for_s, self._max_leaving_s)
+        notice.leaving_until[source] = max(current_until, until)
         return current_until <= now
 
     def withdraw_leaving(self, start, source):
--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -15,7 +15,8 @@
 SMOOTHING = 0.05
 
 LEAVING_TTL_S = 60.0
-"""How long a notice of leaving without a start holds, unless it is renewed."""
+"""How long a notice of leaving holds, unless it is renewed. An upstream that restarts
+at the same address can't be told from its former start."""
 
 AFFINITY_TOLERANCE = 0.35
 """Load above the minimum that is accepted for prefix-cache affinity."""
@@ -33,7 +34,7 @@
         self._affinity = affinity
         self._generator = generator
         self._upstreams = {}
-        self.notices = UpstreamNotices()
+        self.notices = UpstreamNotices(max_leaving_s=LEAVING_TTL_S)
         self._mean_duration_s = INITIAL_DURATION_S
 
     def __iter__(self):
@@ -61,16 +62,12 @@
                 self.notices.drop(upstream.start)
 
     def record_leaving(self, upstream_id, now, source=NoticeSource.PEER):
-        """Record that an upstream announced its shutdown; return whether it is new.
-
-        This holds for :data:`LEAVING_TTL_S`, as it may be about another start of the
-        upstream.
-        """
+        """Record that an upstream announced its shutdown; return whether it is new."""
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return False
         is_new = not upstream.is_leaving(now)
-        self.notices.record_leaving(upstream.start, source, now, LEAVING_TTL_S)
+        self.notices.record_leaving(upstream.start, source, now)
         return is_new
 
     def record_load(self, upstream_id, report, now):
--- a/tests/notices/test_upstreams.py
+++ b/tests/notices/test_upstreams.py
@@ -33,6 +33,24 @@
     assert notices.accepts_work(OTHER_START, NOW)
 
 
+def test_leaving_holds_for_a_limited_time_from_its_last_notice():
+    """Guards against a restart in place that is never used again."""
+    notices = UpstreamNotices(max_leaving_s=60.0)
+    assert notices.record_leaving(START, NoticeSource.ANSWER, NOW)
+    assert not notices.record_leaving(START, NoticeSource.ANSWER, NOW + 50.0)
+    assert notices.is_leaving(START, NOW + 109.9)
+    assert notices.accepts_work(START, NOW + 110.0)
+    assert notices.record_leaving(START, NoticeSource.ANSWER, NOW + 110.0)
+
+
+def test_limit_of_leaving_neither_lengthens_it_nor_limits_rests():
+    notices = UpstreamNotices(max_leaving_s=60.0)
+    notices.record_leaving(START, NoticeSource.ANSWER, NOW, for_s=5.0)
+    notices.record_rest(OTHER_START, 3600.0, NOW)
+    assert notices.accepts_work(START, NOW + 5.0)
+    assert not notices.accepts_work(OTHER_START, NOW + 3599.0)
+
+
 def test_store_does_not_take_back_what_an_answer_said(notices):
     notices.record_leaving(START, NoticeSource.ANSWER, NOW)
     notices.record_leaving(START, NoticeSource.STORE, NOW)
