Keep notices of upstreams that leave the list and come back

An upstream whose entry left the platform's list while it was idle lost its notices. Listed again, it got requests though it had said that it leaves or wants a rest. Notices now end with a changed address only; their number is bounded anyway.

--- a/src/merlinnotch/_routing/upstreams.py
+++ b/src/merlinnotch/_routing/upstreams.py
@@ -26,7 +26,7 @@
     """The upstreams known to one instance, and the selection among them.
 
     *notices* has what they asked of their senders. The notices of an upstream end when
-    its address changes or it is removed.
+    its address changes, but not when it is removed, as it may be listed again.
     """
 
     def __init__(self, zone, affinity=True, generator=random):
@@ -58,8 +58,7 @@
                 current.listed = row
         for upstream_id in self._upstreams.keys() - listed.keys():
             if self._upstreams[upstream_id].in_flight == 0:
-                upstream = self._upstreams.pop(upstream_id)
-                self.notices.drop(upstream.start)
+                del self._upstreams[upstream_id]
 
     def record_leaving(self, upstream_id, now, source=NoticeSource.PEER):
         """Record that an upstream announced its shutdown; return whether it is new."""
