Ask an upstream again whether it accepts work after the claim

Between the assignment of an upstream and the send lie the claim in the ledger, of up to 2 s, and the way from the queue. A request was sent although its upstream had said meanwhile that it leaves or wants a rest. It is now released and another one acquired under the same claim, or the request is refused as not run. A second replacement takes a wait in the queue, which ends at the start deadline.

The fakes of an upstream in tests/upstreams/test_attempts.py and tests/callers/test_cascade.py get an accepts_work(); no test changes.

--- a/src/merlinnotch/_upstreams/attempts.py
+++ b/src/merlinnotch/_upstreams/attempts.py
@@ -178,6 +178,21 @@
         except BaseException:
             self._state.admission.release(upstream)
             raise
+        return self._replace_unaccepting(upstream, request)
+
+    def _replace_unaccepting(self, upstream, request):
+        """Return *upstream*, or another one if it accepts no work any more.
+
+        Its notice may have arrived during the claim or on the way from the queue. A
+        replacement can have the same only after a wait in the queue, which ends at
+        the start deadline.
+        """
+        while not upstream.accepts_work(time.monotonic()):
+            self._state.admission.release(upstream)
+            exclude = frozenset(self._failed_ids)
+            upstream = self._acquire_upstream(
+                dataclasses.replace(request, exclude=exclude)
+            )
         return upstream
 
     def _acquire_upstream(self, request):
--- a/tests/callers/test_cascade.py
+++ b/tests/callers/test_cascade.py
@@ -52,6 +52,7 @@
         self.in_flight += 1
         return types.SimpleNamespace(
             listed=types.SimpleNamespace(id="engine"),
+            accepts_work=lambda now: True,
             record_success=lambda: None,
             record_failure=lambda now, unreachable: None,
             limit=types.SimpleNamespace(record_overload=lambda: None),
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -24,6 +24,9 @@
         self.listed = types.SimpleNamespace(id=f"engine-{number}")
         self.limit = types.SimpleNamespace(record_overload=lambda: None)
 
+    def accepts_work(self, now):
+        return True
+
     def record_failure(self, now, unreachable):
         """Ignore the failure."""
 
