Send no orders to resting upstreams

Orders went to upstreams that had asked for a rest; only leaving ones were skipped. An upstream is asked again just before its order, as the orders before it take time.

--- a/src/merlinnotch/_control/orderer.py
+++ b/src/merlinnotch/_control/orderer.py
@@ -137,6 +137,9 @@
         if now - self._sent_at.get(order.upstream, float("-inf")) < RESEND_INTERVAL_S:
             return
         upstream = self._upstreams.get(order.upstream)
+        # The orders before this one take time.
+        if not upstream.accepts_work(now):
+            return
         self._sent_at[order.upstream] = now
         body = {"fence": self._lease.fence, "versions": order.versions}
         timeout_s = min(MAX_REQUEST_TIMEOUT_S, self._lease.get_remaining_s(now))
--- a/tests/control/test_orderer.py
+++ b/tests/control/test_orderer.py
@@ -1,13 +1,16 @@
-"""Acquisition of the lease for orders, and its fencing numbers."""
+"""The lease for orders with its fencing numbers, and the sending of orders."""
 
+import time
 import types
 
 import pytest
+import urllib3
 
 from merlinnotch._config import RevisionTracker
 from merlinnotch._control.orderer import Orderer
 from merlinnotch._daemon.metrics import Metrics
-from merlinnotch._peers import Membership
+from merlinnotch._orders import LEASE_TTL_S, Order
+from merlinnotch._peers import ListedUpstream, Membership
 from merlinnotch._routing import UpstreamTable
 from merlinnotch._store import MemoryStore
 
@@ -18,12 +21,17 @@
 
 
 @pytest.fixture
-def make_orderer(store):
+def table():
+    return UpstreamTable("zone-a")
+
+
+@pytest.fixture
+def make_orderer(store, table):
     def make_orderer(name):
         return Orderer(
             types.SimpleNamespace(instance=name, zone="zone-a"),
             store,
-            UpstreamTable("zone-a"),
+            table,
             Membership(name, "zone-a"),
             types.SimpleNamespace(tracker=RevisionTracker()),
             Metrics(),
@@ -67,3 +75,48 @@
     second.acquire_or_renew()
     assert second.fence == 0
     assert len(store.leases) == 1
+
+
+class FakeUpstreams:
+    """Answers each request with *status* and *headers*, and keeps the URLs."""
+
+    def __init__(self):
+        self.status = 200
+        self.headers = {}
+        self.urls = []
+
+    def request(self, method, url, **options):
+        self.urls.append(url)
+        return urllib3.HTTPResponse(status=self.status, headers=self.headers)
+
+
+@pytest.fixture
+def upstreams(table):
+    table.replace_listing(
+        [ListedUpstream("engine", "10.0.0.1:1", "zone-a", "language", False)]
+    )
+    return FakeUpstreams()
+
+
+@pytest.fixture
+def send_order(make_orderer, upstreams):
+    """Return a function that sends an order while the lease is held."""
+    orderer = make_orderer("one")
+    now = time.monotonic()
+    orderer._http = upstreams
+    orderer._lease.acquire(1, now - LEASE_TTL_S)
+    orderer._lease.renew(now)
+    return lambda: orderer._send_order(Order("engine", ("swift@v1",)))
+
+
+def test_order_is_sent_to_an_upstream_that_accepts_work(send_order, upstreams):
+    send_order()
+    assert upstreams.urls == ["http://10.0.0.1:1/orders"]
+
+
+def test_order_is_not_sent_if_a_rest_begins_after_it_is_planned(
+    send_order, upstreams, table
+):
+    table.notices.record_rest(table.get("engine").start, 60.0, time.monotonic())
+    send_order()
+    assert upstreams.urls == []
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -48,6 +48,13 @@
     assert plan_orders(catalogue, [upstream], 1.0) == []
 
 
+def test_resting_upstream_gets_no_order_until_its_rest_ends(catalogue, upstream):
+    upstream.versions = frozenset({"swift@v3"})
+    upstream.notices.record_rest(upstream.start, 3.0, 0.0)
+    assert plan_orders(catalogue, [upstream], 2.9) == []
+    assert len(plan_orders(catalogue, [upstream], 3.0)) == 1
+
+
 def test_unmanaged_pools_get_no_orders(upstream):
     _, catalogue = load_catalogue("examples/hearth-calls")
     upstream.versions = frozenset({"gentle@v5"})
