Record the notice in the reply to an order

An upstream that answered an order with a notice of leaving or a rest got requests and further orders all the same, as the reply was read for its status only.

Failed before: test_notice_in_the_reply_to_an_order_is_recorded (3 cases: the upstream still accepted work), with the orderer taking the new argument but not recording. test_reply_to_an_order_without_a_notice_is_none passed before and guards against recording too much.

--- a/src/merlinnotch/_control/orderer.py
+++ b/src/merlinnotch/_control/orderer.py
@@ -36,7 +36,9 @@
 
     interval_s = 1.0
 
-    def __init__(self, settings, store, upstreams, membership, configurer, metrics):
+    def __init__(
+        self, settings, store, upstreams, membership, configurer, metrics, notices
+    ):
         super().__init__()
         self._settings = settings
         self._store = store
@@ -44,6 +46,7 @@
         self._membership = membership
         self._configurer = configurer
         self._metrics = metrics
+        self._notices = notices
         self._lock_key = f"{ORDERS_PREFIX}{settings.zone}/lock"
         self._fence_key = f"{ORDERS_PREFIX}{settings.zone}/fence"
         self._lease = OrderLease()
@@ -151,6 +154,7 @@
         except urllib3.exceptions.HTTPError:
             self._metrics.orders.labels("unanswered").inc()
             return
+        self._notices.record(upstream, reply, time.monotonic())
         accepted = reply.status == 200
         self._metrics.orders.labels("accepted" if accepted else "refused").inc()
         if not accepted:
--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -118,6 +118,7 @@
                 gossiper.membership,
                 configurer,
                 metrics,
+                notices,
             ),
             StatusReporter(settings, store, gossiper, guardian),
         )
--- a/tests/control/test_orderer.py
+++ b/tests/control/test_orderer.py
@@ -13,6 +13,7 @@
 from merlinnotch._peers import ListedUpstream, Membership
 from merlinnotch._routing import UpstreamTable
 from merlinnotch._store import MemoryStore
+from merlinnotch._upstreams.notices import ResponseNotices
 
 
 @pytest.fixture
@@ -26,7 +27,17 @@
 
 
 @pytest.fixture
-def make_orderer(store, table):
+def notices(table):
+    gossiper = types.SimpleNamespace(
+        state={},
+        add_listener=lambda namespace, listener: None,
+        publish=lambda namespace, subkey, value: None,
+    )
+    return ResponseNotices(table, gossiper, lambda: None)
+
+
+@pytest.fixture
+def make_orderer(store, table, notices):
     def make_orderer(name):
         return Orderer(
             types.SimpleNamespace(instance=name, zone="zone-a"),
@@ -35,6 +46,7 @@
             Membership(name, "zone-a"),
             types.SimpleNamespace(tracker=RevisionTracker()),
             Metrics(),
+            notices,
         )
 
     return make_orderer
@@ -120,3 +132,26 @@
     table.notices.record_rest(table.get("engine").start, 60.0, time.monotonic())
     send_order()
     assert upstreams.urls == []
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (503, {"Retry-After": "30"}),
+        (503, {"Server-Leaving": "1"}),
+        (200, {"Server-Leaving": "1"}),
+    ],
+)
+def test_notice_in_the_reply_to_an_order_is_recorded(
+    send_order, upstreams, table, status, headers
+):
+    upstreams.status, upstreams.headers = status, headers
+    send_order()
+    assert len(upstreams.urls) == 1
+    assert not table.get("engine").accepts_work(time.monotonic())
+
+
+def test_reply_to_an_order_without_a_notice_is_none(send_order, upstreams, table):
+    upstreams.status = 503
+    send_order()
+    assert table.get("engine").accepts_work(time.monotonic())
