--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -3,9 +3,9 @@
 from .._gateway import (
     AttemptSender,
     GatewayParts,
-    PatientReader,
     Prober,
     ReachabilityChecker,
+    ResponseReader,
     RetryBudgets,
     RetryReserver,
     UpstreamChooser,
@@ -62,7 +62,7 @@
         pool, loads, view, read_clock, crash_detector.record_connection_refused
     )
     retry_reserver = RetryReserver(chooser, retry_budgets, pool, prober, read_clock)
-    reader = PatientReader(
+    reader = ResponseReader(
         ReachabilityChecker(pool, view, read_clock), retry_reserver, read_clock
     )
     return GatewayParts(
--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -8,9 +8,9 @@
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
-from .patience import PatientReader
 from .prober import Prober
 from .reachability import ReachabilityChecker
+from .response_reader import ResponseReader
 from .retry_budgets import RetryBudgets
 from .retry_reservation import RetryReserver
 
@@ -19,9 +19,9 @@
     "Forwarder",
     "Gateway",
     "GatewayParts",
-    "PatientReader",
     "Prober",
     "ReachabilityChecker",
+    "ResponseReader",
     "RetryBudgets",
     "RetryReserver",
     "UpstreamChooser",
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -29,7 +29,7 @@
     reason = "not run"
 
 
-class TurnedAway(NotRun):
+class UpstreamResting(NotRun):
     """The upstream did not run the request and asked for a rest."""
 
     reason = "resting"
@@ -62,7 +62,7 @@
     """Sends a call to an upstream and reads the response head.
 
     *load_exchange* reports the prompts sent and the load of upstreams to the other
-    instances. *reader* is a :class:`PatientReader`, *notice_recorder* a
+    instances. *reader* is a :class:`ResponseReader`, *notice_recorder* a
     :class:`NoticeRecorder`.
     """
 
@@ -160,7 +160,9 @@
         if was_not_executed(head.status, head.fields):
             self._drain_and_release(upstream, connection, now)
             if notice.rest_s > 0.0:
-                raise TurnedAway(f"status {head.status}, {notice.rest_s:g} s of rest")
+                raise UpstreamResting(
+                    f"status {head.status}, {notice.rest_s:g} s of rest"
+                )
             raise NotRun(f"status {head.status}")
         if response_info.attempt_id != call.headers.attempt_id:
             connection.close()
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -15,8 +15,8 @@
 from .._rollout import AnswerCounts
 from .attempt import AttemptSender
 from .choice import UpstreamChooser
-from .patience import PatientReader
 from .prober import Prober
+from .response_reader import ResponseReader
 from .retry_budgets import RetryBudgets
 from .retry_reservation import RetryReserver
 
@@ -39,7 +39,7 @@
     chooser: UpstreamChooser
     attempt_sender: AttemptSender
     prober: Prober
-    reader: PatientReader
+    reader: ResponseReader
     retry_budgets: RetryBudgets
     retry_reserver: RetryReserver
     load_exchange: object
--- a/src/merlinnotch/_gateway/patience.py
+++ b/src/merlinnotch/_gateway/response_reader.py
@@ -12,7 +12,7 @@
 connections were opened."""
 
 
-class PatientReader:
+class ResponseReader:
     """Reads responses, and ends attempts at upstreams that have fallen silent.
 
     A silent upstream may still answer. Its attempt is therefore ended before the call's
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -19,7 +19,7 @@
     written before the first event, so that the response can be replaced until then.
 
     *record_gap* is called with the call, the attempt and the seconds between events.
-    *reader* is a :class:`PatientReader`.
+    *reader* is a :class:`ResponseReader`.
     """
 
     def __init__(
