--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -197,10 +197,12 @@
             "service": service,
             "stage": due_stage.number,
             "share": due_stage.share,
+            "canaries": canaries,
+            "age_s": round(age_s, 2),
         }
-        fields["canaries"] = canaries
-        fields["seen"] = describe_counts(self._counts, rollout.order)
-        logger.info("rollout stage written", extra=fields | {"age_s": round(age_s, 2)})
+        logger.info(
+            "rollout stage written", extra=fields | self._build_evidence_fields(rollout)
+        )
 
     def _count_canaries(self, service, rollout, share):
         return count_canaries(self._list_target_upstreams(service, rollout), share)
@@ -224,8 +226,19 @@
             previous.index if previous else 0,
         )
         fields = {"service": service, "target": target, "state": str(state)}
-        fields["seen"] = describe_counts(self._counts, rollout.order)
-        logger.info("rollout state written", extra=fields)
+        logger.info(
+            "rollout state written", extra=fields | self._build_evidence_fields(rollout)
+        )
+
+    def _build_evidence_fields(self, rollout):
+        """Return what a decision rests on, and whose counts it includes."""
+        return {
+            "seen": describe_counts(self._counts, rollout.order),
+            "counted_processes": self._counts.tallies.count_incarnations(rollout.order),
+            "present_instances": len(
+                self._tally_exchange.rank_instances(rollout.order.service)
+            ),
+        }
 
     def _report_counters(self, rollout, now):
         order = rollout.order
--- a/src/merlinnotch/_rollout/tallies.py
+++ b/src/merlinnotch/_rollout/tallies.py
@@ -80,6 +80,10 @@
             if version in (None, key.version)
         )
 
+    def count_incarnations(self, order):
+        """Return how many processes, running or ended, counted answers for *order*."""
+        return len({i for key in self.list_keys(order) for i in self._tallies[key]})
+
     def list_local(self, order):
         """Return (key, tally) pairs that this instance counted for *order*."""
         return [
--- a/tests/entry/test_rollout_controller.py
+++ b/tests/entry/test_rollout_controller.py
@@ -351,6 +351,15 @@
     assert stage_key("app") in store.keys
 
 
+def test_log_of_a_stage_tells_whose_counts_it_rests_on(caplog):
+    controller, _, clock, others = make_late_starter((400, 40))
+    with caplog.at_level("INFO", logger="merlinnotch"):
+        run_for(controller, clock, 4.5, reporting=others)
+    written = [r for r in caplog.records if r.message == "rollout stage written"]
+    assert written[0].counted_processes == 1
+    assert written[0].present_instances == 4
+
+
 def test_stage_is_kept_without_answers_of_the_new_version():
     controller, store, clock, others = make_late_starter((400, 0))
     run_for(controller, clock, 4.5, reporting=others)
