Compare a version's failures with those of the same time and route

Cause: the test for health added the fault to the background, although independent faults combine to 1 - (1 - background)(1 - fault), so that from a background of 0.2 on the bad version's rate lies below the bound and more answers only make the mistake surer. And answers of all times were summed: the new version's share changes with the stages, so its answers and the others' come from different times (Simpson's paradox).

Now answers are compared by route and windows of 2 s, and the comparisons are summed, as in the Cochran-Mantel-Haenszel test. The uncertainty of the background counts against both verdicts. Answers without a background, in the last stage or from before a process started, count in full for the test of health. Slow answers are combined in the same way. A route whose failures are likely the version's own keeps it from being healthy.

--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -95,6 +95,8 @@
             self._coverages[service] = ReportCoverage(self._schedule.share)
             self._rejected_at.pop(service, None)
             self._counts.delete_before(rollout.order)
+        order_age_s = rollout.get_order_age_s(now)
+        self._counts.advance_windows(rollout.order, order_age_s, now)
         reason = find_rejection_reason(self._counts, rollout.order)
         if reason is not None:
             self._reject_version(service, rollout, reason, now)
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -13,6 +13,7 @@
     has_more_failures,
     is_slower,
 )
+from .failures import FailureCounts, compare_failures
 from .latency import LatencyCounts, compare_latencies
 from .sessions import place_session
 from .stages import FIRST_STAGE, Exposure, Schedule, StagePlan
@@ -23,6 +24,7 @@
     "FIRST_STAGE",
     "AnswerCounts",
     "Exposure",
+    "FailureCounts",
     "LatencyCounts",
     "ReplicatedCounters",
     "ReportCoverage",
@@ -34,6 +36,7 @@
     "VersionChooser",
     "VersionHealth",
     "assess_health",
+    "compare_failures",
     "compare_latencies",
     "count_canaries",
     "describe_counts",
--- a/src/merlinnotch/_rollout/counts.py
+++ b/src/merlinnotch/_rollout/counts.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from .tallies import ReplicatedCounters
+from .windows import FailureWindows
 
 MAX_RECENT_TIMES = 24
 """Times kept per service from before an order. For a service with few requests they are
@@ -18,6 +19,7 @@
     tallies: ReplicatedCounters
     times: ReplicatedCounters
     _recent_times: dict = field(default_factory=dict)
+    _windows: dict = field(default_factory=dict)
 
     @classmethod
     def start(cls, incarnation):
@@ -40,7 +42,25 @@
             self.times.count(replace(recent_key, order=key.order))
         self.times.count(key)
 
+    def advance_windows(self, order, order_age_s, now):
+        """Close the time window of *order* once it has lasted long enough."""
+        self._get_windows(order).advance(order_age_s, now)
+
+    def compare_failures(self, order):
+        """Return the :class:`FailureCounts` of the target of *order* by route."""
+        return self._get_windows(order).sum()
+
     def delete_before(self, order):
         """Delete the counts of earlier orders for the same service."""
         self.tallies.delete_before(order)
         self.times.delete_before(order)
+        windows = self._windows.get(order.service)
+        if windows is not None and windows.order != order:
+            del self._windows[order.service]
+
+    def _get_windows(self, order):
+        windows = self._windows.get(order.service)
+        if windows is None or windows.order != order:
+            windows = FailureWindows(order, self.tallies)
+            self._windows[order.service] = windows
+        return windows
--- a/src/merlinnotch/_rollout/evaluation.py
+++ b/src/merlinnotch/_rollout/evaluation.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .busy import is_busy
+from .failures import FailureCounts, combine_rates
 from .latency import LatencyCounts, compare_latencies
 from .tallies import Tally
 
@@ -13,8 +14,9 @@
 BASE_FAILURE_RATE = 0.04
 """Fraction of bad answers that any version is allowed, for faults of the platform such
 as lost or corrupted answers."""
-FAILURE_RATE_FACTOR = 1.5
-"""Allowed multiple of the failure rate of the other versions."""
+BACKGROUND_FACTOR = 1.2
+"""Allowed multiple of the failure rate of the other versions, as a disruption seldom
+affects all upstreams equally."""
 REJECTION_P_VALUE = 0.002
 """A version is rejected if a healthy one would give so many bad answers with a lower
 probability than this. It is low because the test is repeated during a rollout."""
@@ -38,6 +40,9 @@
 SUSPECT_P_VALUE = 0.02
 """A version is suspect if a healthy one would give so many bad or slow answers with a
 lower probability than this. It then needs more answers before it advances."""
+UNEXPLAINED_P_VALUE = 0.1
+"""Like SUSPECT_P_VALUE, for the failures on a route on which a bad version isn't ruled
+out either."""
 
 
 class VersionHealth(enum.Enum):
@@ -55,35 +60,47 @@
 class Comparison:
     """Answers of the new version and of the old one, and how long they took.
 
-    *old* is the sum over all versions other than the new one, in the same time.
-    *route* is None for the sum over all routes.
+    *old* is the sum over all versions other than the new one, *failures* the
+    comparison with those of the same time. *route* is None for the sum over all routes.
     """
 
     route: str | None
-    new: Tally
+    failures: FailureCounts
     old: Tally
     latency: LatencyCounts
 
+    @property
+    def new(self):
+        """The :class:`Tally` of the new version."""
+        return self.failures.total
+
     @property
     def is_rejected(self):
         """Whether the new version is significantly worse."""
-        return has_more_failures(self.new, self.old) or is_slower(self.latency)
+        return has_more_failures(self.failures, self.old) or is_slower(self.latency)
 
     @property
     def is_suspect(self):
         """Whether a healthy version would be unlikely to answer like this."""
-        failure_p_value = _compute_failure_p_value(self.new, self.old)
+        failure_p_value = _compute_failure_p_value(self.failures, self.old)
         return (
             min(failure_p_value, _compute_slow_p_value(self.latency)) < SUSPECT_P_VALUE
         )
 
+    @property
+    def rules_out_failures(self):
+        """Whether a failing version would be unlikely to have so few failures."""
+        bad_rate = self.failures.get_lowest_rate(DETECTABLE_FAULT_RATE)
+        return _rules_out_rate(self.new.bad, self.new.answers, bad_rate)
+
     @property
     def is_healthy(self):
         """Whether a bad version would be unlikely to answer as well as this."""
-        bad_rate = DETECTABLE_FAULT_RATE + _get_bad_rate(self.old)
-        if not _rules_out_rate(self.new.bad, self.new.answers, bad_rate):
+        if not self.rules_out_failures:
             return False
-        slow_rate = DETECTABLE_FAULT_RATE + self.latency.expected_slow_rate
+        slow_rate = combine_rates(
+            self.latency.expected_slow_rate, DETECTABLE_FAULT_RATE
+        )
         # Without comparable answers, the times show nothing either way.
         return not self.latency.answers or _rules_out_rate(
             self.latency.slow, self.latency.answers, slow_rate
@@ -94,9 +111,12 @@
 
         "before" precedes the counts of the other versions, which are of the same time.
         """
+        paired = self.failures.paired
         return (
             f"{self.new.bad} bad of {self.new.answers}, "
-            f"before {self.old.bad} of {self.old.answers}; "
+            f"before {self.old.bad} of {self.old.answers}, "
+            f"{paired.bad} bad of {paired.answers} at the same time, "
+            f"usual {self.failures.background:.1f}; "
             f"{self.latency.slow} slow of {self.latency.answers}, "
             f"usual {self.latency.expected_slow:.1f}"
         )
@@ -110,15 +130,16 @@
     )
 
 
-def has_more_failures(new, old):
-    """Return whether the new version's :class:`Tally` rejects it.
+def has_more_failures(failures, old):
+    """Return whether the new version's :class:`FailureCounts` reject it.
 
-    A one-sided binomial test against the old version's failure rate in the same time,
-    so that a fault that affects both versions rejects neither.
+    A one-sided binomial test against the failure rate of the other versions at the same
+    time, so that a fault that affects both rejects neither. *old* is their
+    :class:`Tally`, the background of answers without concurrent ones.
     """
     return (
-        new.bad >= MIN_BAD_ANSWERS
-        and _compute_failure_p_value(new, old) < REJECTION_P_VALUE
+        failures.total.bad >= MIN_BAD_ANSWERS
+        and _compute_failure_p_value(failures, old) < REJECTION_P_VALUE
     )
 
 
@@ -152,8 +173,10 @@
     if any(comparison.is_suspect for comparison in routes):
         return VersionHealth.SUSPECT
     total = _sum_routes(routes)
-    if total.is_healthy and not (
-        has_full_traffic and _lacks_busy_answers(counts, order)
+    if (
+        total.is_healthy
+        and not _has_unexplained_route(routes)
+        and not (has_full_traffic and _lacks_busy_answers(counts, order))
     ):
         return VersionHealth.HEALTHY
     return (
@@ -163,6 +186,16 @@
     )
 
 
+def _has_unexplained_route(routes):
+    """Return whether the failures on a route are likely the new version's own."""
+    return any(
+        _compute_failure_p_value(comparison.failures, comparison.old)
+        < UNEXPLAINED_P_VALUE
+        and not comparison.rules_out_failures
+        for comparison in routes
+    )
+
+
 def _lacks_busy_answers(counts, order):
     """Return whether the old version was busy at times and the new one too seldom.
 
@@ -195,28 +228,26 @@
 
     Answers of busy upstreams are counted as a route of their own, see :mod:`.busy`.
     """
-    tallies = counts.tallies
     latencies = compare_latencies(counts.times, order)
     return [
         Comparison(
-            key.route,
-            tallies.sum(key),
-            _sum_other_versions(tallies, order, key.route),
-            latencies[key.route],
+            route,
+            failures,
+            _sum_other_versions(counts.tallies, order, route),
+            latencies[route],
         )
-        for key in tallies.list_keys(order)
-        if key.version == order.target
+        for route, failures in counts.compare_failures(order).items()
     ]
 
 
 def _sum_routes(comparisons):
     """Return the :class:`Comparison` over all routes."""
-    new, old, latency = Tally(), Tally(), LatencyCounts()
+    failures, old, latency = FailureCounts(), Tally(), LatencyCounts()
     for comparison in comparisons:
-        new = new.add(comparison.new)
+        failures = failures.add(comparison.failures)
         old = old.add(comparison.old)
         latency = latency.add(comparison.latency)
-    return Comparison(None, new, old, latency)
+    return Comparison(None, failures, old, latency)
 
 
 def _sum_other_versions(tallies, order, route):
@@ -237,13 +268,19 @@
     )
 
 
-def _compute_failure_p_value(new, old):
-    allowed = min(0.9, BASE_FAILURE_RATE + FAILURE_RATE_FACTOR * _get_bad_rate(old))
-    return _compute_binomial_tail(new.bad, new.answers, allowed)
+def _compute_failure_p_value(failures, old):
+    # A sum of binomials with several rates has a lighter tail than one binomial with
+    # the mean rate (Hoeffding), so the test keeps its level.
+    allowed = failures.get_highest_rate(
+        BASE_FAILURE_RATE, BACKGROUND_FACTOR, _get_bad_rate(old)
+    )
+    new = failures.total
+    return _compute_binomial_tail(new.bad, new.answers, min(0.9, allowed))
 
 
 def _compute_slow_p_value(latency):
-    allowed = min(0.9, SLOW_BASE_RATE + SLOW_RATE_FACTOR * latency.expected_slow_rate)
+    expected_rate = min(1.0, SLOW_RATE_FACTOR * latency.expected_slow_rate)
+    allowed = min(0.9, combine_rates(expected_rate, SLOW_BASE_RATE))
     return _compute_binomial_tail(latency.slow, latency.answers, allowed)
 
 
--- /dev/null
+++ b/src/merlinnotch/_rollout/windows.py
@@ -0,0 +1,63 @@
+"""Comparison of failures by windows of time.
+
+A sum over the time before, during and after a disruption hides a fault: the share of
+the new version changes with the stages, so its answers and those of the other versions
+come from different times (Simpson's paradox). Like in the Cochran-Mantel-Haenszel test,
+only answers of the same window and route are compared, and the comparisons are summed.
+"""
+
+import collections
+
+from .failures import FailureCounts, compare_failures
+from .tallies import Tally
+
+WINDOW_S = 2.0
+"""Short beside disruptions, long beside the interval of reports."""
+
+
+class FailureWindows:
+    """Failures of the target of one order, summed over windows.
+
+    A process that starts during the rollout is told the answers before its start in its
+    first window, which then shows no background.
+    """
+
+    def __init__(self, order, tallies):
+        self.order = order
+        self._tallies = tallies
+        self._is_paired = True
+        self._first_started_at = None
+        self._started_at = None
+        self._closed = collections.defaultdict(FailureCounts)
+        self._start = {}
+
+    def advance(self, order_age_s, now):
+        """Close the window if it has lasted for :data:`WINDOW_S`."""
+        if self._started_at is None:
+            self._first_started_at = self._started_at = now
+        is_first = self._started_at == self._first_started_at
+        missed_s = order_age_s - (now - self._first_started_at)
+        self._is_paired = not is_first or missed_s < WINDOW_S
+        if now - self._started_at < WINDOW_S:
+            return
+        self._closed = self.sum()
+        for key in self._tallies.list_keys(self.order):
+            self._start[key] = self._tallies.sum(key)
+        self._started_at = now
+        self._is_paired = True
+
+    def sum(self):
+        """Return :class:`FailureCounts` by route, with those of the open window."""
+        new, old = collections.defaultdict(Tally), collections.defaultdict(Tally)
+        for key in self._tallies.list_keys(self.order):
+            side = new if key.version == self.order.target else old
+            increment = self._tallies.sum(key).subtract(self._start.get(key, Tally()))
+            side[key.route] = side[key.route].add(increment)
+        sums = self._closed.copy()
+        for route, tally in new.items():
+            sums[route] = sums[route].add(
+                compare_failures(tally, old[route])
+                if self._is_paired
+                else FailureCounts(unpaired=tally)
+            )
+        return sums
--- a/tests/rollout/test_evaluation.py
+++ b/tests/rollout/test_evaluation.py
@@ -10,6 +10,7 @@
     TallyKey,
     VersionHealth,
     assess_health,
+    compare_failures,
     find_rejection_reason,
     get_count_route,
     has_more_failures,
@@ -32,7 +33,7 @@
     ],
 )
 def test_failures_are_compared_with_the_old_version(new, old, has_more):
-    assert has_more_failures(new, old) is has_more
+    assert has_more_failures(compare_failures(new, old), old) is has_more
 
 
 @pytest.mark.parametrize(
@@ -127,6 +128,22 @@
     assert one.tallies.list_keys(earlier) == []
 
 
+@pytest.mark.parametrize("background", [0.14, 0.3, 0.5])
+@pytest.mark.parametrize("answers", [40, 120])
+def test_bad_versions_seldom_look_healthy_while_all_fail(
+    generator, background, answers
+):
+    def looks_healthy():
+        counts = AnswerCounts.start("me")
+        record_answers(counts, "v1", "a", 500, round(500 * background))
+        good_rate = (1 - background) * (1 - 0.4)
+        bad = sum(generator.random() >= good_rate for _ in range(answers))
+        record_answers(counts, "v2", "a", answers, bad)
+        return assess_health(counts, ORDER) is VersionHealth.HEALTHY
+
+    assert sum(looks_healthy() for _ in range(300)) <= 30
+
+
 def test_thousands_of_answers_do_not_overflow():
     # The coefficients of binomials over a thousand trials overflow a float.
     counts = AnswerCounts.start("me")
--- /dev/null
+++ b/tests/rollout/test_failures.py
@@ -0,0 +1,85 @@
+"""Failures of a new version beside the background of the others."""
+
+import pytest
+
+from merlinnotch._fleet import RolloutOrder
+from merlinnotch._rollout import (
+    AnswerCounts,
+    FailureCounts,
+    Tally,
+    TallyKey,
+    VersionHealth,
+    assess_health,
+    compare_failures,
+    find_rejection_reason,
+)
+from merlinnotch._rollout.failures import combine_rates
+from merlinnotch._rollout.windows import WINDOW_S
+
+ORDER = RolloutOrder("s", "v2", 20.0, 7)
+
+
+def record(counts, version, answers, bad, route="a"):
+    for number in range(answers):
+        counts.tallies.count(TallyKey("s", version, route, 7), number < bad)
+
+
+@pytest.fixture
+def counts():
+    return AnswerCounts.start("me")
+
+
+def test_independent_faults_combine_to_less_than_their_sum():
+    assert combine_rates(0.5, 0.4) == pytest.approx(0.7)
+
+
+def test_background_is_expected_of_the_new_version():
+    failures = compare_failures(Tally(20, 9), Tally(200, 80))
+    assert failures.background == pytest.approx(8.0)
+    assert failures.get_lowest_rate(0.5) < 0.7 < failures.get_highest_rate(0.5, 1, 0)
+
+
+def test_few_answers_of_the_others_show_no_background():
+    assert compare_failures(Tally(20, 9), Tally(9, 9)) == FailureCounts(
+        unpaired=Tally(20, 9)
+    )
+
+
+def test_version_is_not_judged_by_failures_before_its_own_answers(counts):
+    # Summed up, 14 bad of 35 are fewer than the 160 of 300 of the other version.
+    counts.advance_windows(ORDER, 0.0, 0.0)
+    record(counts, "v1", 200, 160)
+    record(counts, "v2", 1, 1)
+    counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
+    record(counts, "v1", 100, 0)
+    record(counts, "v2", 34, 13)
+    assert find_rejection_reason(counts, ORDER) is not None
+
+
+def test_sound_version_is_not_rejected_for_a_disruption_of_its_own_time(counts):
+    # The new version got most of its answers while all versions failed.
+    counts.advance_windows(ORDER, 0.0, 0.0)
+    record(counts, "v1", 400, 0)
+    record(counts, "v2", 10, 0)
+    counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
+    record(counts, "v1", 100, 50)
+    record(counts, "v2", 40, 20)
+    assert find_rejection_reason(counts, ORDER) is None
+
+
+def test_answers_from_before_a_late_start_show_no_background(counts):
+    counts.advance_windows(ORDER, 15.0, 0.0)
+    record(counts, "v1", 100, 50)
+    record(counts, "v2", 40, 20)
+    assert assess_health(counts, ORDER) is VersionHealth.SUSPECT
+    assert find_rejection_reason(counts, ORDER) is None
+
+
+def test_routes_are_compared_with_their_own_background(counts):
+    # Most of the new version's answers are on the route that often fails.
+    record(counts, "v1", 300, 0, "a")
+    record(counts, "v1", 100, 40, "b")
+    record(counts, "v2", 5, 0, "a")
+    record(counts, "v2", 50, 20, "b")
+    assert find_rejection_reason(counts, ORDER) is None
+    assert assess_health(counts, ORDER) is VersionHealth.HEALTHY
