Reject a version after 40 bad answers unless it is shown to be sound

Cause: every bound on the harm was a comparison; none was on the bad answers themselves.

Now the count alone decides where the comparison doesn't show the version to be sound. 40 leaves room for what isn't reported yet. Weighed: a pause until the background is calm. It would move sessions back and forth, and needs the same count again afterwards; the operator's order is a clearer second chance.

--- a/src/merlinnotch/_rollout/evaluation.py
+++ b/src/merlinnotch/_rollout/evaluation.py
@@ -20,6 +20,9 @@
 REJECTION_P_VALUE = 0.002
 """A version is rejected if a healthy one would give so many bad answers with a lower
 probability than this. It is low because the test is repeated during a rollout."""
+MAX_UNPROVEN_BAD_ANSWERS = 40
+"""Bad answers at which a version is rejected unless they are too few for a bad one.
+Rollbacks are due after 50; the rest covers answers that were not reported yet."""
 
 SLOW_BASE_RATE = 0.1
 """Fraction of slow answers that any version is allowed, see :mod:`.latency`."""
@@ -147,15 +150,21 @@
     """Return a reason to roll back the target of *order*, or None.
 
     Tests all routes together and each one alone, as some versions fail on one route
-    only. *counts* are :class:`AnswerCounts`; their ``tallies`` count answers and bad
-    answers, their ``times`` answer times.
+    only, and limits the bad answers of a version that isn't shown to be sound.
+    *counts* are :class:`AnswerCounts`; their ``tallies`` count answers and bad answers,
+    their ``times`` answer times.
     """
     routes = _compare_routes(counts, order)
     for comparison in routes:
         if comparison.is_rejected:
             return f"route {comparison.route}: {comparison.describe()}"
     total = _sum_routes(routes)
-    return total.describe() if total.is_rejected else None
+    if total.is_rejected:
+        return total.describe()
+    # Where the comparison can't tell, the number of callers that are harmed decides.
+    if total.new.bad >= MAX_UNPROVEN_BAD_ANSWERS and not total.rules_out_failures:
+        return f"not shown to be sound: {total.describe()}"
+    return None
 
 
 def assess_health(counts, order, has_full_traffic=False):
--- a/tests/rollout/test_evaluation.py
+++ b/tests/rollout/test_evaluation.py
@@ -144,6 +144,18 @@
     assert sum(looks_healthy() for _ in range(300)) <= 30
 
 
+@pytest.mark.parametrize(
+    ("answers", "bad", "is_rejected"),
+    [(62, 39, False), (63, 40, True), (90, 45, False)],
+)
+def test_bad_answers_are_limited_where_all_versions_fail(answers, bad, is_rejected):
+    # Neither 39 of 62 nor 40 of 63 can be told from the background of one half.
+    counts = AnswerCounts.start("me")
+    record_answers(counts, "v1", "a", 500, 250)
+    record_answers(counts, "v2", "a", answers, bad)
+    assert (find_rejection_reason(counts, ORDER) is not None) is is_rejected
+
+
 def test_thousands_of_answers_do_not_overflow():
     # The coefficients of binomials over a thousand trials overflow a float.
     counts = AnswerCounts.start("me")
