Answer reports for a rejected version with its rejection

Callers: an instance that starts after a rejection and reads a store that is some seconds behind (or is turned away by it, and told the rest by a peer) takes the rollout for active and sends its share to the bad version until it reads the rejection.

Cause: rejections are broadcast until the store holds them, and not afterwards.

Such an instance reports its counters to the evaluators at least once a second. An evaluator that knows the rejection now sends it to the reporter. No message is added where all know.

--- a/src/merlinnotch/_entry/tally_exchange.py
+++ b/src/merlinnotch/_entry/tally_exchange.py
@@ -2,6 +2,7 @@
 
 import math
 
+from .._fleet import RolloutState
 from .._rollout import Tally, TallyKey, TimeKey
 from .datagrams import MessageKind
 from .ranking import InstanceRanking
@@ -76,9 +77,12 @@
 
     def broadcast_bad_version(self, order):
         """Notify all instances that the target of *order* is rejected."""
-        peers = self._ranking.find_addresses(self._view.peers)
+        self._send_bad_version(order, self._view.peers)
+
+    def _send_bad_version(self, order, names):
         body = [order.service, order.index, order.target]
-        self._transport.send(MessageKind.BAD_VERSION, body, peers)
+        addresses = self._ranking.find_addresses(names)
+        self._transport.send(MessageKind.BAD_VERSION, body, addresses)
 
     def _send_rows(self, header, rows, times, evaluators):
         """Send counters, split into more messages if they don't fit one."""
@@ -106,10 +110,14 @@
 
     def _handle_counters(self, body):
         service, order, age_s, incarnation, rows, times = body
+        name = incarnation.partition("/")[0]
         rollout = self._view.get_rollout(service)
         if rollout.order is not None and rollout.order.index == order:
             rollout.raise_order_age(age_s, self._read_clock())
-        self._on_report(service, order, incarnation.partition("/")[0])
+            if rollout.state is RolloutState.REVERTED:
+                # The sender has missed the rejection, and the store may be stale.
+                self._send_bad_version(rollout.order, [name])
+        self._on_report(service, order, name)
         for version, route, *counts in rows:
             key = TallyKey(service, version, route, order)
             self._counts.tallies.merge(key, incarnation, Tally(*counts))
