--- a/benchmarks/resting_fleet.py
+++ b/benchmarks/resting_fleet.py
@@ -109,9 +109,9 @@
         )
         count = INSTANCES_PER_ZONE * len(ZONES)
         budgets = RetryBudgets(
-            RETRY_RATIO, RETRY_WINDOW_S, lambda service: RETRY_SLACK / count
+            RETRY_RATIO, RETRY_WINDOW_S, lambda service, now: RETRY_SLACK / count
         )
-        self._budget = budgets.get(SERVICE)
+        self._budget = budgets.get(SERVICE, 0.0)
         self._recorder = NoticeRecorder(self.view.notices)
         self._records_notices = records_notices
 
--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -43,9 +43,12 @@
     counts,
     metrics,
     generator,
+    started_at,
 ):
     """Return the :class:`GatewayParts` for *settings*.
 
+    *started_at* is when the process was started, on the clock of deadlines.
+
     The other arguments are state shared with the instance's tasks.
     """
     prefill_rates = PrefillRates(lambda model: find_cost(view, model))
@@ -60,7 +63,7 @@
     chooser = UpstreamChooser(view, versions, placer, warm_up, schedule, generator)
     permitted_chooser = PermittedChooser(chooser, permits, view, read_clock)
     name = settings.instance.name
-    retry_budgets = build_retry_budgets(name, settings.retries, view)
+    retry_budgets = build_retry_budgets(name, settings.retries, view, started_at)
     prober = Prober(
         pool, loads, view, read_clock, crash_detector.record_connection_refused
     )
@@ -118,14 +121,15 @@
     return next((cost for cost in costs if cost is not None), None)
 
 
-def build_retry_budgets(name, retries, view):
+def build_retry_budgets(name, retries, view, started_at):
     """Return the :class:`RetryBudgets` of the instance *name* in the fleet of *view*.
 
-    *retries* are the settings for the whole fleet.
+    *retries* are the settings for the whole fleet, *started_at* is when the process was
+    started.
     """
     slack = RETRY_BUDGET_SHARE * retries.slack
     return RetryBudgets(
         retries.ratio * RETRY_BUDGET_SHARE,
         retries.window_s,
-        OwnSlack(slack, name, view).get,
+        OwnSlack(slack, name, view, started_at, retries.window_s).get,
     )
--- a/src/merlinnotch/_entry/own_slack.py
+++ b/src/merlinnotch/_entry/own_slack.py
@@ -11,19 +11,22 @@
 class OwnSlack:
     """Shares *fleet_slack* among the present instances of *view*, by service.
 
-    *name* is this instance.
+    *name* is this instance, *started_at* when its process was started, *window_s* the
+    window of the budget.
     """
 
-    def __init__(self, fleet_slack, name, view):
+    def __init__(self, fleet_slack, name, view, started_at, window_s):
         self._fleet_slack = fleet_slack
+        self._started_at = started_at
+        self._window_s = window_s
         self._name = name
         self._peers = view.peer_directory
         self._ranking = InstanceRanking(name, view)
         self._shares = {}
         self._counted_changes = None
 
-    def get(self, service):
-        """Return the retries that this instance may make in a window."""
+    def get(self, service, now):
+        """Return the retries that this instance may make in a window at *now*."""
         if self._counted_changes != self._peers.change_count:
             self._counted_changes = self._peers.change_count
             self._shares.clear()
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -50,10 +50,12 @@
 class EntryProcess:
     """One instance with all its tasks, from :class:`EntrySettings`.
 
-    *caller_socket*, if given, is already listening on the caller address.
+    *caller_socket*, if given, is already listening on the caller address. *started_at*
+    is when the process was started, now by default.
     """
 
-    def __init__(self, settings, generator=random, caller_socket=None):
+    def __init__(self, settings, generator=random, caller_socket=None, started_at=None):
+        self._started_at = read_clock() if started_at is None else started_at
         self.settings = settings
         self._generator = generator
         self._caller_socket = caller_socket
@@ -153,6 +155,7 @@
             self._counts,
             self.metrics,
             self._generator,
+            self._started_at,
         )
         self.gateway = Gateway(
             instance.caller_address, Forwarder(parts), parts, sock=self._caller_socket
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -60,7 +60,8 @@
         call.model = call.headers.model
         if call.route.models and call.model is None:
             call.model = parts.cascade.choose_first(call.route)
-        parts.retry_budgets.get(call.service).record_first_attempt(self._read_clock())
+        now = self._read_clock()
+        parts.retry_budgets.get(call.service, now).record_first_attempt(now)
         try:
             while not self._send_once(call, connection):
                 pass
@@ -151,7 +152,7 @@
         if call.retry_reserved:
             call.retry_reserved = False
             return True
-        return self._parts.retry_budgets.get(call.service).try_acquire(now)
+        return self._parts.retry_budgets.get(call.service, now).try_acquire(now)
 
     def _send_and_deliver(self, call, connection, choice, placement_request):
         """Send the call and deliver the response; return whether it was delivered.
--- a/src/merlinnotch/_gateway/retry_budgets.py
+++ b/src/merlinnotch/_gateway/retry_budgets.py
@@ -10,7 +10,7 @@
 
     In any *window_s* seconds the fleet may make *ratio* times its first attempts plus
     its slack retries. *get_own_slack* returns this instance's current share of the
-    slack for a service, see :func:`share_slack`.
+    slack for a service and a time, see :func:`share_slack`.
     """
 
     def __init__(self, ratio, window_s, get_own_slack):
@@ -19,9 +19,9 @@
         self._get_own_slack = get_own_slack
         self._budgets = {}
 
-    def get(self, service):
-        """Return the budget of *service*, created on first use."""
-        own_slack = self._get_own_slack(service)
+    def get(self, service, now):
+        """Return the budget of *service* at *now*, created on first use."""
+        own_slack = self._get_own_slack(service, now)
         budget = self._budgets.get(service)
         if budget is None:
             budget = SlidingWindowRetryBudget(self._ratio, own_slack, self._window_s)
--- a/src/merlinnotch/_gateway/retry_reservation.py
+++ b/src/merlinnotch/_gateway/retry_reservation.py
@@ -42,8 +42,8 @@
         """
         if len(call.sent_starts) >= call.route.max_upstreams:
             return RetryDenial.ATTEMPT_LIMIT
-        budget = self._retry_budgets.get(call.service)
         now = self._read_clock()
+        budget = self._retry_budgets.get(call.service, now)
         if not call.retry_reserved and not budget.can_acquire(now, min_remaining):
             return RetryDenial.NO_BUDGET
         choice = self._connect(call, excluded_start)
--- a/tests/gateway/test_retry_budgets.py
+++ b/tests/gateway/test_retry_budgets.py
@@ -12,7 +12,8 @@
 SERVICE = "app"
 SLACK = 20.0
 WINDOW_S = 10.0
-NOW = 50.0
+NOW = 5000.0
+LONG_S = 3600.0
 
 
 class Fleet:
@@ -34,13 +35,14 @@
                 list_present_peers=self.peers.list_present,
             )
             settings = RetrySettings(0.1, SLACK, WINDOW_S)
-            self.budgets.append(build_retry_budgets(name, settings, view))
+            budgets = build_retry_budgets(name, settings, view, NOW - LONG_S)
+            self.budgets.append(budgets)
 
     def count_retries(self, now):
         """Return the retries of all instances without any first attempt."""
         count = 0
         for budgets in self.budgets:
-            while budgets.get(SERVICE).try_acquire(now):
+            while budgets.get(SERVICE, now).try_acquire(now):
                 count += 1
         return count
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -3,6 +3,7 @@
 import eventlet
 from eventlet.green import socket
 
+from merlinnotch._entry.clock import read_clock
 from merlinnotch._entry.process import EntryProcess
 from merlinnotch._entry.settings import (
     EntrySettings,
@@ -24,6 +25,9 @@
 SIZED_PATH = "/sized/"
 WAIT_S = 5.0
 POLL_S = 0.01
+LONG_AGO_S = 3600.0
+"""Instances count as running for so long, as those that have just started have no share
+of the retry slack."""
 PORTS = PortPicker()
 
 
@@ -76,7 +80,7 @@
         settings = make_settings(
             self.store.address, name, watch_s, grace_s, in_force_ms
         )
-        process = EntryProcess(settings)
+        process = EntryProcess(settings, started_at=read_clock() - LONG_AGO_S)
         process.start()
         self.instances.append(process)
         return process
