A started instance has no share of the retry slack in its first window

Cause: the budget lives in the process. Each start granted the instance's share of the slack again (6.2 retries, 43 for seven), while the window still held what its predecessor had spent.

Now an instance has no share of the slack until one window after its start; by then nothing that a predecessor spent counts. All starts count, also the first one: an instance can't tell.

--- a/src/merlinnotch/_entry/own_slack.py
+++ b/src/merlinnotch/_entry/own_slack.py
@@ -11,14 +11,13 @@
 class OwnSlack:
     """Shares *fleet_slack* among the present instances of *view*, by service.
 
-    *name* is this instance, *started_at* when its process was started, *window_s* the
-    window of the budget.
+    *name* is this instance, *started_at* when its process was started. It has no share
+    in its first *window_s*: what its predecessor spent is unknown and still counts.
     """
 
     def __init__(self, fleet_slack, name, view, started_at, window_s):
         self._fleet_slack = fleet_slack
-        self._started_at = started_at
-        self._window_s = window_s
+        self._shared_from = started_at + window_s
         self._name = name
         self._peers = view.peer_directory
         self._ranking = InstanceRanking(name, view)
@@ -27,6 +26,8 @@
 
     def get(self, service, now):
         """Return the retries that this instance may make in a window at *now*."""
+        if now < self._shared_from:
+            return 0.0
         if self._counted_changes != self._peers.change_count:
             self._counted_changes = self._peers.change_count
             self._shares.clear()
