Absent instances keep their share of the retry slack

Cause: the slack was divided by the instances present now, while the window still holds what the others spent; and those that are cut off go on with the share that they had.

Shares are computed over all instances that were present in the last 10 minutes. A rank beyond the slack isn't given to another instance within a window either. Price: after a lasting reduction the slack is used in part for 10 minutes.

--- a/src/merlinnotch/_entry/own_slack.py
+++ b/src/merlinnotch/_entry/own_slack.py
@@ -1,7 +1,7 @@
 """This instance's share of the fleet's retry slack."""
 
 from .._gateway import share_slack
-from .ranking import InstanceRanking
+from .._rendezvous_hashing import rank_names
 
 MIN_FLEET_SIZE = 8
 """Least number of instances that the retry slack is divided by; at start-up few peers
@@ -9,10 +9,12 @@
 
 
 class OwnSlack:
-    """Shares *fleet_slack* among the present instances of *view*, by service.
+    """Shares *fleet_slack* among the instances of *view*, by service.
 
-    *name* is this instance, *started_at* when its process was started. It has no share
-    in its first *window_s*: what its predecessor spent is unknown and still counts.
+    Absent instances keep their share for a time: what they spent still counts, and they
+    may be cut off and go on. *name* is this instance, *started_at* when its process was
+    started. It has no share in its first *window_s*: what its predecessor spent is
+    unknown and still counts.
     """
 
     def __init__(self, fleet_slack, name, view, started_at, window_s):
@@ -20,16 +22,16 @@
         self._shared_from = started_at + window_s
         self._name = name
         self._peers = view.peer_directory
-        self._ranking = InstanceRanking(name, view)
         self._shares = {}
-        self._counted_changes = None
+        self._shared_by = None
 
     def get(self, service, now):
         """Return the retries that this instance may make in a window at *now*."""
         if now < self._shared_from:
             return 0.0
-        if self._counted_changes != self._peers.change_count:
-            self._counted_changes = self._peers.change_count
+        names = self._peers.list_known_names(now) | {self._name}
+        if names != self._shared_by:
+            self._shared_by = names
             self._shares.clear()
         share = self._shares.get(service)
         if share is None:
@@ -37,6 +39,6 @@
         return share
 
     def _compute(self, service):
-        ranked_names = self._ranking.rank(service)
-        size = max(MIN_FLEET_SIZE, len(ranked_names))
-        return share_slack(self._fleet_slack, size, ranked_names.index(self._name))
+        rank = rank_names(service, self._shared_by).index(self._name)
+        size = max(MIN_FLEET_SIZE, len(self._shared_by))
+        return share_slack(self._fleet_slack, size, rank)
