A fleet of fewer than eight uses all of its retry slack a minute after its start

Four instances used 24 of 54 retries, as the slack was divided by eight at least. That covers the start, when few peers have registered; it holds for the first minute only now (twice a lease).

--- a/src/merlinnotch/_entry/own_slack.py
+++ b/src/merlinnotch/_entry/own_slack.py
@@ -3,9 +3,11 @@
 from .._gateway import share_slack
 from .._rendezvous_hashing import rank_names
 
-MIN_FLEET_SIZE = 8
-"""Least number of instances that the retry slack is divided by; at start-up few peers
-have registered yet."""
+MIN_FLEET_SIZE_AT_START = 8
+"""Least number of instances that the retry slack is divided by at start-up, when few
+peers may have registered yet."""
+START_UP_S = 60.0
+"""Time in which the peers have registered: twice their lease."""
 
 
 class OwnSlack:
@@ -20,6 +22,7 @@
     def __init__(self, fleet_slack, name, view, started_at, window_s):
         self._fleet_slack = fleet_slack
         self._shared_from = started_at + window_s
+        self._started_until = started_at + START_UP_S
         self._name = name
         self._peers = view.peer_directory
         self._shares = {}
@@ -30,15 +33,13 @@
         if now < self._shared_from:
             return 0.0
         names = self._peers.list_known_names(now) | {self._name}
-        if names != self._shared_by:
-            self._shared_by = names
+        min_size = MIN_FLEET_SIZE_AT_START if now < self._started_until else 1
+        size = max(min_size, len(names))
+        if (names, size) != self._shared_by:
+            self._shared_by = names, size
             self._shares.clear()
         share = self._shares.get(service)
         if share is None:
-            share = self._shares[service] = self._compute(service)
+            rank = rank_names(service, names).index(self._name)
+            share = self._shares[service] = share_slack(self._fleet_slack, size, rank)
         return share
-
-    def _compute(self, service):
-        rank = rank_names(service, self._shared_by).index(self._name)
-        size = max(MIN_FLEET_SIZE, len(self._shared_by))
-        return share_slack(self._fleet_slack, size, rank)
