Test a version's recent failures apart from its earlier answers

Callers: a version that turns bad during its rollout is hidden by its good answers from before, the more the longer it was sound.

The last 2, 3 and 5 windows are tested like the sum over all, for rejection, for suspicion and for the bound on bad answers.

--- a/src/merlinnotch/_rollout/counts.py
+++ b/src/merlinnotch/_rollout/counts.py
@@ -46,9 +46,12 @@
         """Close the time window of *order* once it has lasted long enough."""
         self._get_windows(order).advance(order_age_s, now)
 
-    def compare_failures(self, order):
-        """Return the :class:`FailureCounts` of the target of *order* by route."""
-        return self._get_windows(order).sum()
+    def compare_failures(self, order, closed_count=None):
+        """Return the :class:`FailureCounts` of the target of *order* by route.
+
+        They are over all windows, or over the open one and the last *closed_count*.
+        """
+        return self._get_windows(order).sum(closed_count)
 
     def delete_before(self, order):
         """Delete the counts of earlier orders for the same service."""
--- a/src/merlinnotch/_rollout/evaluation.py
+++ b/src/merlinnotch/_rollout/evaluation.py
@@ -23,6 +23,9 @@
 MAX_UNPROVEN_BAD_ANSWERS = 40
 """Bad answers at which a version is rejected unless they are too few for a bad one.
 Rollbacks are due after 50; the rest covers answers that were not reported yet."""
+RECENT_WINDOWS = (1, 2, 4)
+"""Numbers of closed windows whose failures are also tested alone. In the sum over all,
+a version that turns bad is hidden by its answers from before."""
 
 SLOW_BASE_RATE = 0.1
 """Fraction of slow answers that any version is allowed, see :mod:`.latency`."""
@@ -72,6 +75,11 @@
     old: Tally
     latency: LatencyCounts
 
+    @property
+    def name(self):
+        """The route, for logs."""
+        return "all routes" if self.route is None else f"route {self.route}"
+
     @property
     def new(self):
         """The :class:`Tally` of the new version."""
@@ -155,20 +163,24 @@
     their ``times`` answer times. *bad_answers* is the total that is known from all
     processes, also from those whose counts are not known any more.
     """
-    routes = _compare_routes(counts, order)
-    for comparison in routes:
-        if comparison.is_rejected:
-            return f"route {comparison.route}: {comparison.describe()}"
-    total = _sum_routes(routes)
-    if total.is_rejected:
-        return total.describe()
-    # Where the comparison can't tell, the number of callers that are harmed decides.
-    bad_answers = max(bad_answers, total.new.bad)
-    if bad_answers >= MAX_UNPROVEN_BAD_ANSWERS and not total.rules_out_failures:
+    total = None
+    for routes in _compare_spans(counts, order):
+        total = _sum_routes(routes)
+        for comparison in (*routes, total):
+            if comparison.is_rejected:
+                return f"{comparison.name}: {comparison.describe()}"
+        # Where the comparison can't tell, the number of harmed callers decides.
+        if _has_unproven_bad_answers(total, total.new.bad):
+            return f"not shown to be sound: {total.describe()}"
+    if _has_unproven_bad_answers(total, bad_answers):
         return f"{bad_answers} bad, not shown to be sound: {total.describe()}"
     return None
 
 
+def _has_unproven_bad_answers(total, bad_answers):
+    return bad_answers >= MAX_UNPROVEN_BAD_ANSWERS and not total.rules_out_failures
+
+
 def rules_out_failures(counts, order):
     """Return whether a failing version would be unlikely to have so few failures."""
     return _sum_routes(_compare_routes(counts, order)).rules_out_failures
@@ -185,10 +197,10 @@
     old version. If those were busy at times, the new version also has to show that it
     is healthy by its answers while busy.
     """
-    routes = _compare_routes(counts, order)
-    if any(comparison.is_suspect for comparison in routes):
-        return VersionHealth.SUSPECT
-    total = _sum_routes(routes)
+    for routes in _compare_spans(counts, order):
+        total = _sum_routes(routes)
+        if any(comparison.is_suspect for comparison in (*routes, total)):
+            return VersionHealth.SUSPECT
     if (
         total.is_healthy
         and not _has_unexplained_route(routes)
@@ -239,6 +251,19 @@
     return _sum_routes(_compare_routes(counts, order)).describe()
 
 
+def _compare_spans(counts, order):
+    """Yield the comparisons of all routes, over recent windows and then over all.
+
+    Those of recent windows have no times.
+    """
+    for closed_count in RECENT_WINDOWS:
+        yield [
+            Comparison(route, failures, old, LatencyCounts())
+            for route, failures, old in _pair_routes(counts, order, closed_count)
+        ]
+    yield _compare_routes(counts, order)
+
+
 def _compare_routes(counts, order):
     """Return a :class:`Comparison` for each route with answers of the new version.
 
@@ -246,16 +271,17 @@
     """
     latencies = compare_latencies(counts.times, order)
     return [
-        Comparison(
-            route,
-            failures,
-            _sum_other_versions(counts.tallies, order, route),
-            latencies[route],
-        )
-        for route, failures in counts.compare_failures(order).items()
+        Comparison(route, failures, old, latencies[route])
+        for route, failures, old in _pair_routes(counts, order)
     ]
 
 
+def _pair_routes(counts, order, closed_count=None):
+    """Yield route, :class:`FailureCounts` and :class:`Tally` of the other versions."""
+    for route, failures in counts.compare_failures(order, closed_count).items():
+        yield route, failures, _sum_other_versions(counts.tallies, order, route)
+
+
 def _sum_routes(comparisons):
     """Return the :class:`Comparison` over all routes."""
     failures, old, latency = FailureCounts(), Tally(), LatencyCounts()
@@ -285,12 +311,15 @@
 
 
 def _compute_failure_p_value(failures, old):
+    """Return the probability of so many failures of a healthy version, 1 if usual."""
     # A sum of binomials with several rates has a lighter tail than one binomial with
     # the mean rate (Hoeffding), so the test keeps its level.
     allowed = failures.get_highest_rate(
         BASE_FAILURE_RATE, BACKGROUND_FACTOR, _get_bad_rate(old)
     )
     new = failures.total
+    if new.bad <= allowed * new.answers:
+        return 1.0
     return _compute_binomial_tail(new.bad, new.answers, min(0.9, allowed))
 
 
--- a/src/merlinnotch/_rollout/windows.py
+++ b/src/merlinnotch/_rollout/windows.py
@@ -13,6 +13,8 @@
 
 WINDOW_S = 2.0
 """Short beside disruptions, long beside the interval of reports."""
+MAX_WINDOWS = 32
+"""Bounds memory. The oldest windows of a longer rollout are summed."""
 
 
 class FailureWindows:
@@ -28,7 +30,7 @@
         self._is_paired = True
         self._first_started_at = None
         self._started_at = None
-        self._closed = collections.defaultdict(FailureCounts)
+        self._closed = []
         self._start = {}
 
     def advance(self, order_age_s, now):
@@ -40,24 +42,39 @@
         self._is_paired = not is_first or missed_s < WINDOW_S
         if now - self._started_at < WINDOW_S:
             return
-        self._closed = self.sum()
+        self._closed.append(self.sum(0))
+        if len(self._closed) > MAX_WINDOWS:
+            self._closed[:2] = [_add_by_route(self._closed[:2])]
         for key in self._tallies.list_keys(self.order):
             self._start[key] = self._tallies.sum(key)
         self._started_at = now
         self._is_paired = True
 
-    def sum(self):
-        """Return :class:`FailureCounts` by route, with those of the open window."""
+    def sum(self, closed_count=None):
+        """Return :class:`FailureCounts` by route over the last windows.
+
+        They are the open window and the last *closed_count* closed ones, or all.
+        """
+        first = 0 if closed_count is None else len(self._closed) - closed_count
+        return _add_by_route([*self._closed[max(0, first) :], self._sum_open()])
+
+    def _sum_open(self):
         new, old = collections.defaultdict(Tally), collections.defaultdict(Tally)
         for key in self._tallies.list_keys(self.order):
             side = new if key.version == self.order.target else old
             increment = self._tallies.sum(key).subtract(self._start.get(key, Tally()))
             side[key.route] = side[key.route].add(increment)
-        sums = self._closed.copy()
-        for route, tally in new.items():
-            sums[route] = sums[route].add(
-                compare_failures(tally, old[route])
-                if self._is_paired
-                else FailureCounts(unpaired=tally)
-            )
-        return sums
+        return {
+            route: compare_failures(tally, old[route])
+            if self._is_paired
+            else FailureCounts(unpaired=tally)
+            for route, tally in new.items()
+        }
+
+
+def _add_by_route(windows):
+    sums = collections.defaultdict(FailureCounts)
+    for window in windows:
+        for route, failures in window.items():
+            sums[route] = sums[route].add(failures)
+    return sums
--- a/tests/entry/test_rollout_among_failures.py
+++ b/tests/entry/test_rollout_among_failures.py
@@ -94,3 +94,14 @@
     count = fleet.sent["v2"]
     fleet.run(20.0)
     assert fleet.sent["v2"] == count
+
+
+@pytest.mark.parametrize("fault_from", [8.0, 13.0, 16.0])
+@pytest.mark.parametrize("name", ["calm", "a seventh fails", "half fails at first"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_version_that_turns_bad_is_stopped(name, rates, fault_from, seed):
+    background = BACKGROUNDS[name]
+    fleet = SimulatedFleet(8, rates, background, 0.4, seed, fault_from=fault_from)
+    fleet.run(45.0)
+    assert fleet.state != "complete"
+    assert fleet.late_requests == 0
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -139,12 +139,20 @@
     """Instances that send requests to a service during a rollout.
 
     *background* returns the rate at which all versions fail at a time, *fault_rate* is
-    the fraction of its other answers that the new version fails. *rates* are the
-    requests per second of each route.
+    the fraction of its other answers that the new version fails from *fault_from* on.
+    *rates* are the requests per second of each route.
     """
 
     def __init__(
-        self, size, rates, background, fault_rate, seed=1, period_s=22.0, loss=0.0
+        self,
+        size,
+        rates,
+        background,
+        fault_rate,
+        seed=1,
+        period_s=22.0,
+        loss=0.0,
+        fault_from=0.0,
     ):
         self.generator = random.Random(seed)
         self.now = 0.0
@@ -154,6 +162,7 @@
         self._rates = rates
         self._background = background
         self._fault_rate = fault_rate
+        self._fault_from = fault_from
         self._messages = collections.deque()
         self._answers = collections.deque()
         self._started = 0
@@ -219,7 +228,8 @@
         self.sent[version] += 1
         if version == "v2" and self._is_late(instance):
             self.late_requests += 1
-        fault_rate = self._fault_rate if version == "v2" else 0.0
+        is_faulty = version == "v2" and self.now >= self._fault_from
+        fault_rate = self._fault_rate if is_faulty else 0.0
         good_rate = (1 - self._background(self.now)) * (1 - fault_rate)
         is_bad = self.generator.random() >= good_rate
         if version == "v2" and is_bad:
