Bad answers in the store reject a version only beside reports from most instances

Operators: an instance that has just started, or that is no evaluator, knows the bad answers in the store but not the good ones that outweigh them; a few of its own would have rejected a sound version for all (found by review; the new test failed before: rejected by 39 in the store and 2 of 4 of its own).

--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -102,7 +102,7 @@
             self._counts.delete_before(rollout.order)
         order_age_s = rollout.get_order_age_s(now)
         self._counts.advance_windows(rollout.order, order_age_s, now)
-        bad_answers = self._bad_answers.count(rollout)
+        bad_answers = self._count_bad_answers(service, rollout)
         reason = find_rejection_reason(self._counts, rollout.order, bad_answers)
         if reason is not None:
             self._reject_version(service, rollout, reason, now)
@@ -117,6 +117,14 @@
             self._advance(service, rollout, age_s, now)
             self._bad_answers.write_due(rollout, self._counts, now)
 
+    def _count_bad_answers(self, service, rollout):
+        """Return the bad answers of all processes, 0 if the good ones aren't known."""
+        bad_answers = self._bad_answers.count(rollout)
+        knows_good_ones = (
+            self._is_evaluator(service) and self._coverages[service].has_majority
+        )
+        return bad_answers if knows_good_ones else 0
+
     def _record_report(self, service, order_index, name):
         """Record that instance *name* has sent its counters for an order."""
         if self._order_indexes.get(service) == order_index:
--- a/src/merlinnotch/_rollout/coverage.py
+++ b/src/merlinnotch/_rollout/coverage.py
@@ -46,6 +46,11 @@
             self._window_started_at = now
             self._window_start_total = total
 
+    @property
+    def has_majority(self):
+        """Whether most other instances have reported all that they counted."""
+        return self._majority_since is not None
+
     def is_sufficient(self, now):
         """Return whether the reports received suffice to decide on stages."""
         started_at = self._window_started_at
--- a/tests/entry/test_rollout_controller.py
+++ b/tests/entry/test_rollout_controller.py
@@ -351,6 +351,20 @@
     assert stage_key("app") in store.keys
 
 
+@pytest.mark.parametrize("reports", [False, True])
+def test_checkpoint_rejects_a_version_only_beside_reports_from_others(reports):
+    # A process that has just started doesn't know the answers that outweigh them.
+    controller, _, clock, others = make_late_starter((0, 0))
+    rollout = controller._view.get_rollout("app")
+    rollout.stage = Stage("app", 5, 2, 0.1, 13.5, 7, bad_answers=39)
+    for version, answers in (("v1", 16), ("v2", 4)):
+        for number in range(answers):
+            key = TallyKey("app", version, "route", 5)
+            controller._counts.tallies.count(key, number % 2 == 0)
+    run_for(controller, clock, 4.5, reporting=others if reports else ())
+    assert ("v2" in rollout.bad_versions) is reports
+
+
 def test_log_of_a_stage_tells_whose_counts_it_rests_on(caplog):
     controller, _, clock, others = make_late_starter((400, 40))
     with caplog.at_level("INFO", logger="merlinnotch"):
