--- a/src/merlinnotch/_rollout/evaluation.py
+++ b/src/merlinnotch/_rollout/evaluation.py
@@ -204,7 +204,7 @@
     if (
         total.is_healthy
         and not _has_unexplained_route(routes)
-        and not _lacks_unpaired_answers(counts, order)
+        and not _has_unpaired_failures(counts, order)
         and not (has_full_traffic and _lacks_busy_answers(counts, order))
     ):
         return VersionHealth.HEALTHY
@@ -215,8 +215,8 @@
     )
 
 
-def _lacks_unpaired_answers(counts, order):
-    """Return whether recent answers without a background leave the version in doubt.
+def _has_unpaired_failures(counts, order):
+    """Return whether recent failures without a background leave the version in doubt.
 
     The last stage has such answers only. Earlier ones must not make up for them, as
     they are of other conditions.
@@ -225,7 +225,7 @@
     unpaired = Tally()
     for failures in recent:
         unpaired = unpaired.add(failures.unpaired)
-    return unpaired.answers > 0 and not _rules_out_rate(
+    return unpaired.bad > 0 and not _rules_out_rate(
         unpaired.bad, unpaired.answers, DETECTABLE_FAULT_RATE
     )
 
--- a/tests/rollout/test_failures.py
+++ b/tests/rollout/test_failures.py
@@ -83,3 +83,22 @@
     record(counts, "v2", 50, 20, "b")
     assert find_rejection_reason(counts, ORDER) is None
     assert assess_health(counts, ORDER) is VersionHealth.HEALTHY
+
+
+@pytest.mark.parametrize(
+    ("answers", "bad", "health"),
+    [
+        (2, 0, VersionHealth.HEALTHY),
+        (9, 2, VersionHealth.SUSPECT),
+        (30, 2, VersionHealth.HEALTHY),
+    ],
+)
+def test_earlier_answers_do_not_outweigh_failures_of_the_last_stage(
+    counts, answers, bad, health
+):
+    counts.advance_windows(ORDER, 0.0, 0.0)
+    record(counts, "v1", 300, 60)
+    record(counts, "v2", 60, 6)
+    counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
+    record(counts, "v2", answers, bad)
+    assert assess_health(counts, ORDER) is health
