Rollout evaluation: one job a module, no state that can be derived

The windows derive whether they are at the first one; delete_before deleted windows that are replaced anyway. make_report says what tell did. The tests of failures and of evaluation share their recorder; a branch of the simulated fleet that could not matter is gone.

--- a/src/merlinnotch/_entry/bad_answers.py
+++ b/src/merlinnotch/_entry/bad_answers.py
@@ -39,7 +39,7 @@
     def report(self, order):
         """Report this process's bad answers to the evaluators, if there are any."""
         total = self._get_total(order.service, order.index)
-        increment = total.tell(self._tallies.count_local_bad(order))
+        increment = total.make_report(self._tallies.count_local_bad(order))
         if increment:
             self._tally_exchange.send_bad_answers(order, total.checkpoint, increment)
 
@@ -62,7 +62,7 @@
             return
         del self._due_at[order.service]
         total = self._get_total(order.service, order.index)
-        total.tell(self._tallies.count_local_bad(order))
+        total.make_report(self._tallies.count_local_bad(order))
         checkpoint = dataclasses.replace(stage, bad_answers=bad_answers)
         value = encode_stage(checkpoint)
         self._store.swap(stage_key(order.service), value, stage.index)
--- a/src/merlinnotch/_rollout/__init__.py
+++ b/src/merlinnotch/_rollout/__init__.py
@@ -4,6 +4,7 @@
 from .canaries import count_canaries, select_canaries
 from .checkpoints import BadAnswerTotal
 from .chooser import VersionChooser
+from .comparison import has_more_failures, is_slower
 from .counts import AnswerCounts
 from .coverage import ReportCoverage
 from .evaluation import (
@@ -11,8 +12,6 @@
     assess_health,
     describe_counts,
     find_rejection_reason,
-    has_more_failures,
-    is_slower,
     rules_out_failures,
 )
 from .failures import FailureCounts, compare_failures
--- a/src/merlinnotch/_rollout/counts.py
+++ b/src/merlinnotch/_rollout/counts.py
@@ -57,9 +57,6 @@
         """Delete the counts of earlier orders for the same service."""
         self.tallies.delete_before(order)
         self.times.delete_before(order)
-        windows = self._windows.get(order.service)
-        if windows is not None and windows.order != order:
-            del self._windows[order.service]
 
     def _get_windows(self, order):
         windows = self._windows.get(order.service)
--- a/src/merlinnotch/_rollout/windows.py
+++ b/src/merlinnotch/_rollout/windows.py
@@ -20,15 +20,14 @@
 class FailureWindows:
     """Failures of the target of one order, summed over windows.
 
-    A process that starts during the rollout is told the answers before its start in its
-    first window, which then shows no background.
+    A process that starts during the rollout receives the counts from before its start
+    in its first window, which then shows no background.
     """
 
     def __init__(self, order, tallies):
         self.order = order
         self._tallies = tallies
         self._is_paired = True
-        self._first_started_at = None
         self._started_at = None
         self._closed = []
         self._start = {}
@@ -36,10 +35,10 @@
     def advance(self, order_age_s, now):
         """Close the window if it has lasted for :data:`WINDOW_S`."""
         if self._started_at is None:
-            self._first_started_at = self._started_at = now
-        is_first = self._started_at == self._first_started_at
-        missed_s = order_age_s - (now - self._first_started_at)
-        self._is_paired = not is_first or missed_s < WINDOW_S
+            self._started_at = now
+        if not self._closed:
+            missed_s = order_age_s - (now - self._started_at)
+            self._is_paired = missed_s < WINDOW_S
         if now - self._started_at < WINDOW_S:
             return
         self._closed.append(self.sum(0))
--- a/tests/rollout/test_checkpoints.py
+++ b/tests/rollout/test_checkpoints.py
@@ -16,11 +16,11 @@
     assert total.sum(3) == 15
 
 
-def test_checkpoint_includes_what_was_told_before(total):
-    assert total.tell(5) == 5
+def test_checkpoint_includes_what_was_reported_before(total):
+    assert total.make_report(5) == 5
     total.advance(5)
     assert total.sum(7) == 7
-    assert total.tell(7) == 2
+    assert total.make_report(7) == 2
 
 
 def test_reports_on_the_same_checkpoint_are_added_up(total):
--- a/tests/rollout/test_evaluation.py
+++ b/tests/rollout/test_evaluation.py
@@ -16,8 +16,7 @@
     has_more_failures,
     is_slower,
 )
-
-ORDER = RolloutOrder("s", "v2", 20.0, 7)
+from tests.rollout.answers import ORDER, record_answers
 
 
 @pytest.mark.parametrize(
@@ -49,11 +48,6 @@
     assert is_slower(latency) is slower
 
 
-def record_answers(counts, version, route, answers, bad):
-    for number in range(answers):
-        counts.tallies.count(TallyKey("s", version, route, 7), number < bad)
-
-
 def merge_counts(one, two, order):
     """Merge the counts of *two* into those of *one*."""
     for key, tally in two.tallies.list_local(order):
--- a/tests/rollout/test_failures.py
+++ b/tests/rollout/test_failures.py
@@ -2,12 +2,10 @@
 
 import pytest
 
-from merlinnotch._fleet import RolloutOrder
 from merlinnotch._rollout import (
     AnswerCounts,
     FailureCounts,
     Tally,
-    TallyKey,
     VersionHealth,
     assess_health,
     compare_failures,
@@ -15,13 +13,7 @@
 )
 from merlinnotch._rollout.failures import combine_rates
 from merlinnotch._rollout.windows import WINDOW_S
-
-ORDER = RolloutOrder("s", "v2", 20.0, 7)
-
-
-def record(counts, version, answers, bad, route="a"):
-    for number in range(answers):
-        counts.tallies.count(TallyKey("s", version, route, 7), number < bad)
+from tests.rollout.answers import ORDER, record_answers
 
 
 @pytest.fixture
@@ -48,39 +40,39 @@
 def test_version_is_not_judged_by_failures_before_its_own_answers(counts):
     # Summed up, 14 bad of 35 are fewer than the 160 of 300 of the other version.
     counts.advance_windows(ORDER, 0.0, 0.0)
-    record(counts, "v1", 200, 160)
-    record(counts, "v2", 1, 1)
+    record_answers(counts, "v1", "a", 200, 160)
+    record_answers(counts, "v2", "a", 1, 1)
     counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
-    record(counts, "v1", 100, 0)
-    record(counts, "v2", 34, 13)
+    record_answers(counts, "v1", "a", 100, 0)
+    record_answers(counts, "v2", "a", 34, 13)
     assert find_rejection_reason(counts, ORDER) is not None
 
 
 def test_sound_version_is_not_rejected_for_a_disruption_of_its_own_time(counts):
     # The new version got most of its answers while all versions failed.
     counts.advance_windows(ORDER, 0.0, 0.0)
-    record(counts, "v1", 400, 0)
-    record(counts, "v2", 10, 0)
+    record_answers(counts, "v1", "a", 400, 0)
+    record_answers(counts, "v2", "a", 10, 0)
     counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
-    record(counts, "v1", 100, 50)
-    record(counts, "v2", 40, 20)
+    record_answers(counts, "v1", "a", 100, 50)
+    record_answers(counts, "v2", "a", 40, 20)
     assert find_rejection_reason(counts, ORDER) is None
 
 
 def test_answers_from_before_a_late_start_show_no_background(counts):
     counts.advance_windows(ORDER, 15.0, 0.0)
-    record(counts, "v1", 100, 50)
-    record(counts, "v2", 40, 20)
+    record_answers(counts, "v1", "a", 100, 50)
+    record_answers(counts, "v2", "a", 40, 20)
     assert assess_health(counts, ORDER) is VersionHealth.SUSPECT
     assert find_rejection_reason(counts, ORDER) is None
 
 
 def test_routes_are_compared_with_their_own_background(counts):
     # Most of the new version's answers are on the route that often fails.
-    record(counts, "v1", 300, 0, "a")
-    record(counts, "v1", 100, 40, "b")
-    record(counts, "v2", 5, 0, "a")
-    record(counts, "v2", 50, 20, "b")
+    record_answers(counts, "v1", "a", 300, 0)
+    record_answers(counts, "v1", "b", 100, 40)
+    record_answers(counts, "v2", "a", 5, 0)
+    record_answers(counts, "v2", "b", 50, 20)
     assert find_rejection_reason(counts, ORDER) is None
     assert assess_health(counts, ORDER) is VersionHealth.HEALTHY
 
@@ -97,8 +89,8 @@
     counts, answers, bad, health
 ):
     counts.advance_windows(ORDER, 0.0, 0.0)
-    record(counts, "v1", 300, 60)
-    record(counts, "v2", 60, 6)
+    record_answers(counts, "v1", "a", 300, 60)
+    record_answers(counts, "v2", "a", 60, 6)
     counts.advance_windows(ORDER, WINDOW_S, WINDOW_S)
-    record(counts, "v2", answers, bad)
+    record_answers(counts, "v2", "a", answers, bad)
     assert assess_health(counts, ORDER) is health
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -223,8 +223,6 @@
         instance = self.instances[self.generator.choice(self.names)]
         accepts = instance.chooser.choose(SERVICE, instance.rollout, None)
         version = "v2" if accepts[0]("v2") and not accepts[0]("v1") else "v1"
-        if instance.rollout.state.value == "complete":
-            version = "v2"
         self.sent[version] += 1
         if version == "v2" and self._is_late(instance):
             self.late_requests += 1
