Log the shared prompt parts of the runs that are lost with an upstream

The logs named only the fingerprint of a whole request, so they couldn't show whether requests that crash upstreams have one part in common. At most eight runs for each upstream that ended. No change of logic.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash upstreams, shared by all instances."""
 
 import logging
+import math
 
 import eventlet
 import eventlet.queue
@@ -27,6 +28,8 @@
 TAKEOVER_DELAY_S = 0.25
 """Additional delay of each evaluator in the ranking. The ones ranked before it have
 sent their result by then unless they are stopped or unreachable."""
+MAX_LOGGED_LOSSES = 8
+"""Losses listed in the log line about an upstream that ended, the latest runs first."""
 MAX_ROWS = 40
 """Losses per message, so that it fits a datagram."""
 MAX_STARTS = 30
@@ -119,6 +122,8 @@
             for loss in self.runs.pop_losses(start, observed_at)
             if not self._was_answered(loss.fingerprint, now)
         ]
+        if losses:
+            _log_losses(start, losses)
         for loss in losses:
             self._reported.add(loss.fingerprint, now)
         evaluators = self._list_evaluator_addresses()
@@ -254,6 +259,24 @@
     logger.warning("request blocked", extra=fields)
 
 
+def _log_losses(start, losses):
+    """Log which requests were running on an upstream that ended, and for how long."""
+    latest = sorted(
+        losses,
+        key=lambda loss: math.inf if loss.run_time_s is None else loss.run_time_s,
+    )
+    runs = [
+        {
+            "fingerprint": loss.fingerprint.hex(),
+            "run_ms": loss.run_time_s and round(loss.run_time_s * 1000.0, 1),
+            "parts": [part.hex() for part in loss.parts],
+        }
+        for loss in latest[:MAX_LOGGED_LOSSES]
+    ]
+    fields = {"upstream": start.id, "losses": len(losses), "latest": runs}
+    logger.info("upstream ended", extra=fields)
+
+
 def _encode_losses(start, losses):
     rows = [
         [
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -5,7 +5,7 @@
 
 from .._fleet import Configuration, Route, Team, UpstreamStart
 from .._http import Framing
-from .._poison import Run, fingerprint_request
+from .._poison import Run, fingerprint_parts, fingerprint_request
 
 
 @dataclass
@@ -101,6 +101,11 @@
             request.method, request.host, request.target, team, request.body
         )
 
+    @functools.cached_property
+    def parts(self):
+        """Fingerprints of the prompt parts that other requests may contain."""
+        return fingerprint_parts([part.id for part in self.headers.prompt])
+
     @property
     def sends_left(self):
         """How many more upstreams the route allows."""
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -224,7 +224,9 @@
         upstream = choice.upstream
         may_have_run_before = call.may_have_run
         now = self._read_clock()
-        call.run = parts.crash_detector.runs.open(call.fingerprint, upstream.start)
+        call.run = parts.crash_detector.runs.open(
+            call.fingerprint, upstream.start, call.parts
+        )
         if not call.route.retry_policy.is_streaming:
             # Without a stream nothing shows when the upstream starts the request.
             call.run.begun_at = now
--- a/src/merlinnotch/_poison/__init__.py
+++ b/src/merlinnotch/_poison/__init__.py
@@ -2,7 +2,7 @@
 
 from .attribution import CrashAttributor
 from .blocked import BLOCK_S, BlockList
-from .fingerprint import fingerprint_request
+from .fingerprint import fingerprint_parts, fingerprint_request
 from .recent import RecentSet
 from .runs import Loss, Run, RunTable
 
@@ -14,5 +14,6 @@
     "RecentSet",
     "Run",
     "RunTable",
+    "fingerprint_parts",
     "fingerprint_request",
 ]
--- a/src/merlinnotch/_poison/runs.py
+++ b/src/merlinnotch/_poison/runs.py
@@ -16,6 +16,7 @@
 class Run:
     """An attempt at a request on one upstream. Times are on the boot clock.
 
+    *parts* are the fingerprints of the prompt parts that other requests may contain.
     *begun_at* is when the response head arrived, or None before that; without a stream
     it is when the request was sent. *abandoned_at* is when this instance abandoned the
     run. *disconnected_at* is when the upstream closed the connection.
@@ -23,6 +24,7 @@
 
     fingerprint: bytes
     start: UpstreamStart
+    parts: tuple[bytes, ...] = ()
     begun_at: float | None = None
     abandoned_at: float | None = None
     disconnected_at: float | None = None
@@ -39,12 +41,14 @@
 class Loss:
     """A request that was on an upstream when the upstream ended.
 
-    *run_time_s* is how long the request had run, or None if that isn't known.
+    *run_time_s* is how long the request had run, or None if that isn't known. *parts*
+    are those of the :class:`Run`.
     """
 
     fingerprint: bytes
     start: UpstreamStart
     run_time_s: float | None
+    parts: tuple[bytes, ...] = ()
 
 
 class RunTable:
@@ -53,9 +57,9 @@
     def __init__(self):
         self._runs = {}
 
-    def open(self, fingerprint, start):
+    def open(self, fingerprint, start, parts=()):
         """Return the :class:`Run` of a request that is being sent."""
-        run = Run(fingerprint, start)
+        run = Run(fingerprint, start, parts)
         self._runs.setdefault(start, set()).add(run)
         return run
 
@@ -89,7 +93,7 @@
         ]
         ended_at = max(disconnect_times, default=seen_at)
         return [
-            Loss(run.fingerprint, start, _compute_run_time(run, ended_at))
+            Loss(run.fingerprint, start, _compute_run_time(run, ended_at), run.parts)
             for run in runs
             if not _was_over_before(run, ended_at)
         ]
