Block prompt parts that crash upstreams

Cause: the identity of the harm was taken to be the whole request's. Requests that share a prompt part, no two alike, were different suspects with one to three losses each. Of 136 requests that lost a run, three were blocked, each after the harm. Ruled out as the cause: late blocks (each reached all instances within 2 ms in the log).

Losses are reported with the shared parts of their prompts. A part is blocked once four upstreams ended within 0.5 s of a run with it (five, if an upstream survived it in the last minute), over different requests, if it explains at least half of the upstreams that ended meanwhile and no run that began after its first loss has survived. A part that is in most requests is never blocked. One that explains more than a blocked part acquits it. Runs that wait with a blocked part are given up.

Why it works: all requests with the deadly part count together, and every other part of them is cleared by the sound requests that share it, or explains the crashes no better.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash upstreams, shared by all instances."""
+"""Detection of requests and prompt parts that crash upstreams, by all instances."""
 
 import logging
 import math
@@ -9,8 +9,15 @@
 from .._errors import StoreConflict, StoreError
 from .._fleet import UpstreamStart
 from .._fleet.records import blocked_key
-from .._poison import CrashAttributor, Loss, RecentSet, RunTable
+from .._poison import CrashAttributor, PartTracker, RecentSet, RunTable
 from .datagrams import MessageKind
+from .loss_messages import (
+    PartReport,
+    decode_losses,
+    decode_part_reports,
+    encode_losses,
+    encode_part_reports,
+)
 from .ranking import InstanceRanking
 
 logger = logging.getLogger("merlinnotch")
@@ -30,8 +37,6 @@
 sent their result by then unless they are stopped or unreachable."""
 MAX_LOGGED_LOSSES = 8
 """Losses listed in the log line about an upstream that ended, the latest runs first."""
-MAX_ROWS = 40
-"""Losses per message, so that it fits a datagram."""
 MAX_STARTS = 30
 """Upstreams listed with a blocked request in one message."""
 ANSWER_VALIDITY_S = 60.0
@@ -47,12 +52,12 @@
 
 
 class CrashDetector:
-    """Blocks requests that crash their upstreams, across the whole fleet.
+    """Blocks what crashes upstreams, across the whole fleet.
 
     Each instance reports to the evaluators which of its requests were running at an
-    upstream when it ended. An evaluator that identifies a crashing request broadcasts
-    the block and writes it to the store, for instances that start later or miss the
-    message.
+    upstream when it ended, and which prompt parts these have in common with others. An
+    evaluator that identifies a crashing request or part broadcasts the block and writes
+    it to the store, for instances that start later or miss the message.
     """
 
     def __init__(self, transport, store, view, name, read_clock):
@@ -64,11 +69,13 @@
         self._read_clock = read_clock
         self._ranking = InstanceRanking(name, view)
         self._evaluator = CrashAttributor(view.blocked)
+        self._parts = PartTracker(view.blocked)
         self._wakeups = eventlet.queue.LightQueue(1)
         self._last_loss_at = 0.0
         self._reported = RecentSet(MAX_REPORTED)
         self._answered = RecentSet(MAX_ANSWERED)
         transport.handle(MessageKind.LOSSES, self._handle_losses)
+        transport.handle(MessageKind.PART_LOSSES, self._handle_part_losses)
         transport.handle(MessageKind.CLEARED, self._handle_cleared)
         transport.handle(MessageKind.BLOCKED, self._handle_blocked)
 
@@ -77,16 +84,17 @@
         self.runs.close(run)
         fingerprint = run.fingerprint
         self._answered.add(fingerprint, self._read_clock())
-        if fingerprint in self._view.blocked:
-            peers = self._ranking.find_addresses(self._view.peers)
-            self._transport.send(MessageKind.CLEARED, [fingerprint], peers)
-            self._clear_suspicion(fingerprint)
-            eventlet.spawn_n(self._delete_block, fingerprint)
-        elif self._reported.remove(fingerprint):
-            self._transport.send(
-                MessageKind.CLEARED, [fingerprint], self._list_evaluator_addresses()
-            )
-            self._clear_suspicion(fingerprint)
+        if fingerprint in self._view.blocked or self._reported.remove(fingerprint):
+            self._clear(fingerprint)
+        self._record_survived(run)
+
+    def record_read(self, run):
+        """Record that data of a run's response arrived.
+
+        An upstream that sends data long after the run began has survived it.
+        """
+        if run.record_read(self._read_clock()):
+            self._record_survived(run)
 
     def record_abandoned(self, run):
         """Record that this instance abandoned a run, if it is still in progress."""
@@ -116,22 +124,60 @@
 
     def _report_losses(self, start, observed_at):
         """Report the requests that were running at an upstream when it ended."""
+        losses = self.runs.pop_losses(start, observed_at)
+        if not losses:
+            return
         now = self._read_clock()
+        _log_losses(start, losses)
+        self._report_request_losses(start, losses, now)
+        self._report_part_losses(start, losses, now)
+
+    def _report_request_losses(self, start, losses, now):
         losses = [
-            loss
-            for loss in self.runs.pop_losses(start, observed_at)
-            if not self._was_answered(loss.fingerprint, now)
+            loss for loss in losses if not self._was_answered(loss.fingerprint, now)
         ]
-        if losses:
-            _log_losses(start, losses)
         for loss in losses:
             self._reported.add(loss.fingerprint, now)
-        evaluators = self._list_evaluator_addresses()
-        for first in range(0, len(losses), MAX_ROWS):
-            body = _encode_losses(start, losses[first : first + MAX_ROWS])
-            self._transport.send(MessageKind.LOSSES, body, evaluators)
+        for body in encode_losses(start, losses):
+            self._transport.send(
+                MessageKind.LOSSES, body, self._list_evaluator_addresses()
+            )
         self._record_losses(losses)
 
+    def _report_part_losses(self, start, losses, now):
+        reports = [
+            PartReport(loss, self._parts.classify(loss.parts, now))
+            for loss in losses
+            if loss.parts
+        ]
+        self._parts.suspect(losses, now)
+        for body in encode_part_reports(start, reports):
+            self._transport.send(
+                MessageKind.PART_LOSSES, body, self._list_evaluator_addresses()
+            )
+        self._record_part_reports(reports)
+
+    def _record_survived(self, run):
+        now = self._read_clock()
+        for part in self._parts.record_survived(run, now):
+            self._clear(part)
+
+    def _clear(self, fingerprint):
+        """Clear a request or a part on all instances that hold something against it."""
+        if fingerprint in self._view.blocked:
+            self._lift_block(fingerprint)
+            return
+        addresses = self._list_evaluator_addresses()
+        self._transport.send(MessageKind.CLEARED, [fingerprint], addresses)
+        self._clear_suspicion(fingerprint)
+
+    def _lift_block(self, fingerprint):
+        """End a block on all instances and in the store."""
+        peers = self._ranking.find_addresses(self._view.peers)
+        self._transport.send(MessageKind.CLEARED, [fingerprint], peers)
+        self._clear_suspicion(fingerprint)
+        eventlet.spawn_n(self._delete_block, fingerprint)
+
     def run(self):
         """Evaluate suspects until the process ends."""
         while True:
@@ -159,12 +205,20 @@
             eventlet.sleep(ranked.index(self._name) * TAKEOVER_DELAY_S)
 
     def _block_crashing_requests(self, now):
+        for verdict in self._parts.attributor.block_culprits(now):
+            self._evaluator.attribute(verdict.part, verdict.starts, now)
+            self._announce_block(verdict.part, verdict.starts, "prompt part")
+            for part in verdict.acquitted:
+                self._lift_block(part)
         for fingerprint, starts in self._evaluator.block_culprits(now):
-            _log_blocked(fingerprint, starts)
-            rows = [[start.id, start.started_ms] for start in starts[-MAX_STARTS:]]
-            peers = self._ranking.find_addresses(self._view.peers)
-            self._transport.send(MessageKind.BLOCKED, [fingerprint, rows], peers)
-            eventlet.spawn_n(self._store_block, fingerprint)
+            self._announce_block(fingerprint, starts, "request")
+
+    def _announce_block(self, fingerprint, starts, culprit):
+        _log_blocked(fingerprint, starts, culprit)
+        rows = [[start.id, start.started_ms] for start in starts[-MAX_STARTS:]]
+        peers = self._ranking.find_addresses(self._view.peers)
+        self._transport.send(MessageKind.BLOCKED, [fingerprint, rows], peers)
+        eventlet.spawn_n(self._store_block, fingerprint)
 
     def _store_block(self, fingerprint, delay_s=0.0):
         """Write the block to the store after *delay_s*, unless it is there already.
@@ -199,9 +253,10 @@
             logger.info("request unblocked", extra={"fingerprint": fingerprint.hex()})
 
     def _clear_suspicion(self, fingerprint):
-        """Unblock an answered request and drop the losses counted against it."""
+        """Lift a block and drop the losses that are held against a request or part."""
         self._unblock(fingerprint)
         self._evaluator.clear(fingerprint)
+        self._parts.clear(fingerprint)
 
     def _was_answered(self, fingerprint, now):
         """Return whether this instance got a complete answer to the request recently.
@@ -218,14 +273,36 @@
         for loss in losses:
             if not self._was_answered(loss.fingerprint, self._last_loss_at):
                 self._evaluator.record_loss(loss, self._last_loss_at)
+        self._wake_up()
+
+    def _record_part_reports(self, reports):
+        if not reports or self._name not in self._rank_evaluators():
+            return
+        now = self._last_loss_at = self._read_clock()
+        for report in reports:
+            self._parts.record_loss(report.loss, report.usages, now)
+        self._wake_up()
+
+    def _wake_up(self):
         if not self._wakeups.full():
             self._wakeups.put_nowait(True)
 
     def _handle_losses(self, body):
-        losses = _decode_losses(body)
+        losses = decode_losses(body)
         self._record_losses(losses)
-        for start in {loss.start for loss in losses}:
-            # Runs that were abandoned here have no connection left to show the failure.
+        self._report_abandoned({loss.start for loss in losses})
+
+    def _handle_part_losses(self, body):
+        reports = decode_part_reports(body)
+        self._record_part_reports(reports)
+        self._report_abandoned({report.loss.start for report in reports})
+
+    def _report_abandoned(self, starts):
+        """Report runs on upstreams that ended, as others report.
+
+        Runs that were abandoned here have no connection left to show the failure.
+        """
+        for start in starts:
             if not self.runs.has_open_runs(start):
                 self._report_losses(start, self._read_clock())
 
@@ -237,8 +314,9 @@
         starts = [UpstreamStart(*row) for row in rows]
         now = self._read_clock()
         if self._view.blocked.add(fingerprint, now):
-            _log_blocked(fingerprint, starts)
+            _log_blocked(fingerprint, starts, "reported")
         self._evaluator.attribute(fingerprint, starts, now)
+        self._parts.attributor.attribute(fingerprint, starts)
         ranked = self._rank_evaluators()
         if self._name in ranked:
             # The evaluator that blocked it may stop before writing the block.
@@ -253,9 +331,10 @@
         return self._ranking.find_addresses(self._rank_evaluators())
 
 
-def _log_blocked(fingerprint, starts):
+def _log_blocked(fingerprint, starts, culprit):
     upstreams = [start.id for start in starts]
     fields = {"fingerprint": fingerprint.hex(), "upstreams": upstreams}
+    fields["culprit"] = culprit
     logger.warning("request blocked", extra=fields)
 
 
@@ -275,20 +354,3 @@
     ]
     fields = {"upstream": start.id, "losses": len(losses), "latest": runs}
     logger.info("upstream ended", extra=fields)
-
-
-def _encode_losses(start, losses):
-    rows = [
-        [
-            loss.fingerprint,
-            None if loss.run_time_s is None else round(loss.run_time_s, 3),
-        ]
-        for loss in losses
-    ]
-    return [start.id, start.started_ms, rows]
-
-
-def _decode_losses(body):
-    upstream_id, started_ms, rows = body
-    start = UpstreamStart(upstream_id, started_ms)
-    return [Loss(fingerprint, start, run_time_s) for fingerprint, run_time_s in rows]
--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -35,6 +35,7 @@
     SLOT_ANSWER = 18
     SLOT_RELEASE = 19
     BRITTLE = 20
+    PART_LOSSES = 21
 
 
 class DatagramTransport:
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -201,6 +201,7 @@
         self.gateway = Gateway(
             instance.caller_address, Forwarder(parts), parts, sock=self._caller_socket
         )
+        self.view.blocked.on_added = self.gateway.end_blocked_requests
         relay_endpoint = RelayEndpoint(self.gateway, self.view, self.metrics)
         self._connect_relays(parts, relay_endpoint)
         state_endpoint = StateEndpoint(self.mirror)
--- /dev/null
+++ b/src/merlinnotch/_gateway/blocking.py
@@ -0,0 +1,40 @@
+"""Refusal of requests that are known to crash upstreams."""
+
+from .._errors import ErrorKind, Outcome, RequestRefused
+from .._poison import fingerprint_parts
+
+MAX_LOGGED_ID_LENGTH = 64
+
+
+def find_block(call, blocked, now):
+    """Return the :class:`RequestRefused` for *call*, or None if it isn't blocked.
+
+    *blocked* is the :class:`BlockList`. Another attempt would crash one more upstream
+    and fail all other requests there.
+    """
+    if not len(blocked):
+        return None
+    for key in call.crash_keys:
+        remaining_s = blocked.get_remaining_s(key, now)
+        if remaining_s > 0.0:
+            return _build_error(call, key, remaining_s)
+    return None
+
+
+def _build_error(call, key, remaining_s):
+    detail = ", ".join([*call.reasons, _describe_key(call, key)])
+    outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+    return RequestRefused(ErrorKind.REQUEST_BLOCKED, detail, outcome, remaining_s)
+
+
+def _describe_key(call, key):
+    if key == call.fingerprint:
+        return f"request {key.hex()}"
+    part_id = next(
+        part.id for part in call.headers.prompt if _fingerprint(part.id) == key
+    )
+    return f"prompt part {part_id[:MAX_LOGGED_ID_LENGTH]}, {key.hex()}"
+
+
+def _fingerprint(part_id):
+    return fingerprint_parts([part_id, ""])[0]
--- a/src/merlinnotch/_gateway/call.py
+++ b/src/merlinnotch/_gateway/call.py
@@ -106,6 +106,11 @@
         """Fingerprints of the prompt parts that other requests may contain."""
         return fingerprint_parts([part.id for part in self.headers.prompt])
 
+    @property
+    def crash_keys(self):
+        """Fingerprints of what may crash an upstream: the request and its parts."""
+        return (self.fingerprint, *self.parts)
+
     @property
     def sends_left(self):
         """How many more upstreams the route allows."""
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -17,6 +17,7 @@
 )
 from .._placement import PlacementRequest
 from .attempt import MAX_BUFFERED_BYTES, NotRun
+from .blocking import find_block
 from .choice import UpstreamsUnreachable
 from .larger_model import EscalationPolicy
 from .read_limits import ReadLimitReached
@@ -189,6 +190,7 @@
             if call.may_have_run:
                 raise self._build_exhausted_error(call, now) from error
             raise
+        self._recheck_blocked(call, choice)
         if call.send_count and not self._take_retry(call, now):
             self._parts.permitted_chooser.give_back(choice)
             call.reasons.append(str(RetryDenial.NO_BUDGET))
@@ -196,17 +198,20 @@
         return choice
 
     def _check_blocked(self, call, now):
-        """Raise :class:`RequestRefused` if the request is known to crash upstreams.
+        """Raise :class:`RequestRefused` if the request is known to crash upstreams."""
+        error = find_block(call, self._parts.view.blocked, now)
+        if error is not None:
+            raise error
 
-        Another attempt would crash one more upstream and fail all other requests there.
-        """
-        blocked = self._parts.view.blocked
-        remaining_s = blocked.get_remaining_s(call.fingerprint, now) if blocked else 0.0
-        if remaining_s > 0.0:
-            outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
-            raise RequestRefused(
-                ErrorKind.REQUEST_BLOCKED, ", ".join(call.reasons), outcome, remaining_s
-            )
+    def _recheck_blocked(self, call, choice):
+        """Check again after the choice, which may have waited for a permit."""
+        try:
+            self._check_blocked(call, self._read_clock())
+        except RequestRefused:
+            if choice.connection is not None:
+                choice.connection.close()
+            self._parts.permitted_chooser.give_back(choice)
+            raise
 
     def _take_retry(self, call, now):
         if call.retry_reserved:
@@ -245,6 +250,8 @@
             raise
         call.upstream_id = upstream.id
         call.framing = attempt.head.framing
+        call.run.has_response = True
+        call.run.record_read(self._read_clock())
         if call.run.begun_at is None:
             call.run.begun_at = self._read_clock()
         if call.route.retry_policy.is_streaming and attempt.head.status == OK:
@@ -294,7 +301,7 @@
             connection,
             self._parts.select_forwarded_fields,
             self._read_clock,
-            self._results.record_gap,
+            self._record_gap,
             self._parts.reader,
         )
         relay.run(attempt)
@@ -304,6 +311,10 @@
         self._results.record_response(call, attempt, failed=False)
         return True
 
+    def _record_gap(self, call, attempt, gap_s):
+        self._results.record_gap(call, attempt, gap_s)
+        self._parts.crash_detector.record_read(call.run)
+
     def _reserve_retry(self, call, upstream):
         """Return whether another attempt has been reserved in place of a response."""
         if not call.is_retryable:
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -15,6 +15,7 @@
 )
 from .._fleet import CallerLimits
 from .._http import CallerConnection, Listener
+from .blocking import find_block
 from .sources import CallerSource
 
 logger = logging.getLogger("merlinnotch")
@@ -80,6 +81,21 @@
         for interrupter in list(self._interrupters):
             interrupter.interrupt(_build_stop_error(interrupter.call))
 
+    def end_blocked_requests(self, fingerprint):
+        """Refuse the requests that wait for an upstream which they would crash.
+
+        *fingerprint* was blocked just now. Runs that have begun go on: if the upstream
+        survives one, the block is lifted.
+        """
+        now = self._read_clock()
+        for interrupter in list(self._interrupters):
+            call = interrupter.call
+            if call.run is None or not call.run.is_waiting:
+                continue
+            if fingerprint in call.crash_keys:
+                error = find_block(call, self._view.blocked, now)
+                interrupter.interrupt(error)
+
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
         until = self._read_clock() + READY_TIMEOUT_S
--- a/src/merlinnotch/_poison/__init__.py
+++ b/src/merlinnotch/_poison/__init__.py
@@ -1,8 +1,11 @@
-"""Detection and blocking of requests that crash upstreams."""
+"""Detection and blocking of requests and prompt parts that crash upstreams."""
 
 from .attribution import CrashAttributor
 from .blocked import BLOCK_S, BlockList
 from .fingerprint import fingerprint_parts, fingerprint_request
+from .part_attribution import PartAttributor
+from .part_tracker import PartTracker
+from .part_usage import PartUsage, PartUsageCounter
 from .recent import RecentSet
 from .runs import Loss, Run, RunTable
 
@@ -11,6 +14,10 @@
     "BlockList",
     "CrashAttributor",
     "Loss",
+    "PartAttributor",
+    "PartTracker",
+    "PartUsage",
+    "PartUsageCounter",
     "RecentSet",
     "Run",
     "RunTable",
--- a/src/merlinnotch/_poison/attribution.py
+++ b/src/merlinnotch/_poison/attribution.py
@@ -38,7 +38,7 @@
 
     def count_early_losses(self):
         """Return the number of early losses."""
-        return sum(1 for run_time_s in self.losses.values() if _is_early(run_time_s))
+        return sum(1 for run_time_s in self.losses.values() if is_early(run_time_s))
 
     def exceeds_chance(self):
         """Return whether the losses are too many to be chance."""
@@ -58,7 +58,7 @@
     def rank(self):
         """Return a sort key, greatest for the most likely crashing request."""
         times = [
-            run_time_s for run_time_s in self.losses.values() if _is_early(run_time_s)
+            run_time_s for run_time_s in self.losses.values() if is_early(run_time_s)
         ]
         mean_s = sum(times) / len(times) if times else CRASH_WINDOW_S
         return len(self.losses), len(times), -mean_s
@@ -155,5 +155,6 @@
             del self._suspects[fingerprint]
 
 
-def _is_early(run_time_s):
+def is_early(run_time_s):
+    """Return whether an upstream ended soon after the start of a run."""
     return run_time_s is not None and run_time_s <= CRASH_WINDOW_S
--- a/src/merlinnotch/_poison/blocked.py
+++ b/src/merlinnotch/_poison/blocked.py
@@ -1,4 +1,4 @@
-"""Requests that are temporarily blocked from upstreams."""
+"""Requests and prompt parts that are temporarily blocked from upstreams."""
 
 BLOCK_S = 600.0
 """Duration of a block. After it the request is sent again, as the upstreams may have
@@ -6,9 +6,13 @@
 
 
 class BlockList:
-    """Fingerprints of blocked requests and when each block expires."""
+    """Fingerprints of blocked requests and parts, and when each block expires.
+
+    *on_added* is called with each fingerprint that is added.
+    """
 
     def __init__(self):
+        self.on_added = lambda fingerprint: None
         self._blocked_until = {}
         self._stored = set()
 
@@ -19,14 +23,15 @@
         return fingerprint in self._blocked_until
 
     def add(self, fingerprint, now):
-        """Block a request from *now* on; return False if it is blocked already."""
+        """Block a fingerprint from *now* on; return False if it is blocked already."""
         if fingerprint in self._blocked_until:
             return False
         self._blocked_until[fingerprint] = now + BLOCK_S
+        self.on_added(fingerprint)
         return True
 
     def remove(self, fingerprint):
-        """Unblock a request."""
+        """Unblock a fingerprint."""
         self._blocked_until.pop(fingerprint, None)
         self._stored.discard(fingerprint)
 
@@ -39,7 +44,7 @@
         return fingerprint in self._stored
 
     def get_remaining_s(self, fingerprint, now):
-        """Return how many seconds a request stays blocked, 0 if it isn't blocked."""
+        """Return how many seconds a block lasts from *now* on, 0 without one."""
         return max(0.0, self._blocked_until.get(fingerprint, now) - now)
 
     def list_expired(self, now):
--- /dev/null
+++ b/src/merlinnotch/_poison/part_attribution.py
@@ -0,0 +1,305 @@
+"""Identification of the prompt parts that crash upstreams.
+
+A part is a suspect if requests with it were running when their upstreams ended. The
+other parts of these requests are suspects too, until an upstream survives a request
+with them.
+"""
+
+import collections
+from dataclasses import dataclass, field
+
+from .attribution import (
+    CRASH_WINDOW_S,
+    LOSS_RETENTION_S,
+    MIN_LOSSES,
+    is_early,
+)
+from .part_usage import PartUsage
+
+MIN_EARLY_PART_LOSSES = 4
+"""A part is blocked once it has this many early losses. It takes one more than a
+request, as a block of a part refuses the requests of many callers."""
+MAX_TIED_LOSSES = 7
+"""Parts that always come together can't be told apart. One of them is blocked once they
+have this many losses; until then a request with only one of them may clear it."""
+MIN_EXPLAINED_SHARE = 0.5
+"""Least share of the upstreams that ended since the first loss of a part, and for which
+no other part accounts, that the part must explain to be blocked. Where upstreams end
+for other reasons, a part explains few of them."""
+MIN_SURPLUS_LOSSES = 2
+"""A part explains another one's losses if it has this many more."""
+MAX_ENDED = 1024
+"""Limit on the upstreams that ended which are kept."""
+MAX_ACQUITTED = 64
+"""Limit on the parts kept that were acquitted. If they are blocked again they are not
+acquitted again, so that two parts don't acquit each other in turn."""
+MAX_SUSPECTS = 4096
+"""Limit on the suspects kept. Those with a single loss are dropped first."""
+MAX_REQUESTS = 16
+"""Limit on the requests kept for a part and an upstream that ended."""
+
+
+@dataclass
+class PartLoss:
+    """The runs with a part on an upstream that ended.
+
+    *run_time_s* is that of the longest run, None if no run time is known. *requests*
+    are the fingerprints of the requests.
+    """
+
+    run_time_s: float | None = None
+    requests: set = field(default_factory=set)
+
+    @property
+    def may_have_crashed(self):
+        """Whether one of the runs may have crashed the upstream as it began."""
+        return self.run_time_s is None or is_early(self.run_time_s)
+
+
+@dataclass
+class PartSuspect:
+    """A prompt part that was on upstreams when they ended.
+
+    *losses* maps the start of each upstream to a :class:`PartLoss`. *usage* is how
+    common the part was before the losses, *depth* its latest position in a prompt.
+    *blocked_starts* are the starts for which the part was blocked before.
+    """
+
+    losses: dict = field(default_factory=dict)
+    usage: PartUsage = PartUsage.UNUSED
+    depth: int = 0
+    blocked_starts: set = field(default_factory=set)
+    updated_at: float = 0.0
+
+    @property
+    def possible_starts(self):
+        """The starts of the upstreams that the part may have crashed."""
+        return {s for s, loss in self.losses.items() if loss.may_have_crashed}
+
+
+@dataclass(frozen=True)
+class Evidence:
+    """The losses that a part may have caused, and what is known of the part.
+
+    *end_count* is how many upstreams ended since the first of the losses for which no
+    other part accounts.
+    """
+
+    losses: dict
+    usage: PartUsage
+    depth: int
+    end_count: int
+
+    @property
+    def requests(self):
+        """Fingerprints of the requests with the part that were lost."""
+        return set().union(*(loss.requests for loss in self.losses.values()))
+
+    def is_sufficient(self):
+        """Return whether the losses are too many to be chance."""
+        early_count = sum(is_early(loss.run_time_s) for loss in self.losses.values())
+        if self._is_from_one_request():
+            return False
+        if len(self.losses) < MIN_EXPLAINED_SHARE * self.end_count:
+            return False
+        if self.usage is PartUsage.COMMON:
+            # Most requests are lost with it, whatever makes upstreams end.
+            return False
+        if self.usage is PartUsage.USED:
+            return (
+                early_count >= MIN_EARLY_PART_LOSSES and len(self.losses) >= MIN_LOSSES
+            )
+        return early_count >= MIN_EARLY_PART_LOSSES or len(self.losses) >= MIN_LOSSES
+
+    def is_equal_to(self, other):
+        """Return whether *other* explains the same losses of the same requests."""
+        return (
+            self.usage == other.usage
+            and self.losses.keys() == other.losses.keys()
+            and self.requests == other.requests
+        )
+
+    def rank(self):
+        """Return a sort key, greatest for the most likely crashing part."""
+        is_unused = self.usage is PartUsage.UNUSED
+        mean_s, request_count = compute_narrowness(self.losses)
+        return is_unused, len(self.losses), -mean_s, -request_count, self.depth
+
+    def _is_from_one_request(self):
+        """Return whether one request accounts for all losses of the part."""
+        return bool(set.intersection(*(loss.requests for loss in self.losses.values())))
+
+
+@dataclass(frozen=True)
+class PartVerdict:
+    """A part that is now blocked, and the *starts* of the upstreams that it crashed.
+
+    *acquitted* are the parts whose blocks are to be lifted, as it explains all that
+    they were blocked for.
+    """
+
+    part: bytes
+    starts: tuple
+    acquitted: tuple
+
+
+class PartAttributor:
+    """Blocks the prompt parts that crash upstreams, by the losses of all instances.
+
+    *blocked* is the :class:`BlockList` to which parts are added. What a blocked part
+    accounts for doesn't count against others.
+    """
+
+    def __init__(self, blocked):
+        self._blocked = blocked
+        self._suspects = collections.OrderedDict()
+        self._ended_at = collections.OrderedDict()
+        self._acquitted = collections.deque(maxlen=MAX_ACQUITTED)
+
+    def record_loss(self, loss, usages, now):
+        """Record a :class:`Loss`; *usages* has the :class:`PartUsage` of its parts."""
+        self._ended_at.setdefault(loss.start, now)
+        if len(self._ended_at) > MAX_ENDED:
+            self._ended_at.popitem(last=False)
+        for depth, (part, usage) in enumerate(zip(loss.parts, usages, strict=True)):
+            suspect = self._get_updated_suspect(part, now)
+            suspect.depth = depth
+            suspect.usage = max(suspect.usage, usage)
+            part_loss = suspect.losses.setdefault(loss.start, PartLoss())
+            if loss.run_time_s is not None:
+                known_s = part_loss.run_time_s or 0.0
+                part_loss.run_time_s = max(known_s, loss.run_time_s)
+            if len(part_loss.requests) < MAX_REQUESTS:
+                part_loss.requests.add(loss.fingerprint)
+
+    def clear(self, part):
+        """Drop the losses of a part that an upstream survived, unless it is blocked."""
+        if part not in self._blocked:
+            self._suspects.pop(part, None)
+
+    def attribute(self, part, starts):
+        """Attribute the end of the upstreams *starts* to a part that was blocked."""
+        suspect = self._suspects.get(part)
+        if suspect is not None:
+            for start in starts:
+                suspect.losses.setdefault(start, PartLoss())
+            suspect.blocked_starts.update(suspect.losses)
+
+    def block_culprits(self, now):
+        """Block the parts found; return a :class:`PartVerdict` for each.
+
+        The caller lifts the blocks of those that are acquitted.
+        """
+        verdicts = []
+        while (part := self._find_crashing_part()) is not None:
+            suspect = self._suspects[part]
+            acquitted = tuple(self._find_explained(suspect))
+            for other in acquitted:
+                self._blocked.remove(other)
+                del self._suspects[other]
+                self._acquitted.append(other)
+            self._blocked.add(part, now)
+            starts = tuple(suspect.possible_starts)
+            self.attribute(part, starts)
+            verdicts.append(PartVerdict(part, starts, acquitted))
+        return verdicts
+
+    def _find_crashing_part(self):
+        evidence = {
+            part: self._select_evidence(suspect)
+            for part, suspect in self._suspects.items()
+            if part not in self._blocked
+            and len(suspect.losses) >= MIN_EARLY_PART_LOSSES
+        }
+        sufficient = [
+            part
+            for part, found in evidence.items()
+            if found is not None and found.is_sufficient()
+        ]
+        part = max(sufficient, key=lambda p: evidence[p].rank(), default=None)
+        if part is None or _is_tied(part, evidence):
+            return None
+        return part
+
+    def _select_evidence(self, suspect):
+        """Return the :class:`Evidence` against a part, None if there is no new loss."""
+        explained = set(self._find_explained(suspect))
+        attributed = set()
+        open_starts = suspect.possible_starts - suspect.blocked_starts
+        for part, other in self._suspects.items():
+            if part in self._blocked:
+                open_starts -= other.blocked_starts
+                if part not in explained:
+                    attributed |= other.blocked_starts
+        if not open_starts:
+            return None
+        losses = {
+            start: suspect.losses[start]
+            for start in suspect.possible_starts - attributed
+        }
+        since = min(self._ended_at.get(start, 0.0) for start in losses)
+        end_count = sum(
+            ended_at >= since and start not in attributed
+            for start, ended_at in self._ended_at.items()
+        )
+        return Evidence(losses, suspect.usage, suspect.depth, end_count)
+
+    def _find_explained(self, suspect):
+        """Yield the blocked parts whose losses *suspect* explains at least as well."""
+        for part, other in self._suspects.items():
+            if part not in self._blocked or part in self._acquitted:
+                continue
+            if other.blocked_starts and other.blocked_starts < suspect.possible_starts:
+                shared = {s: suspect.losses[s] for s in other.blocked_starts}
+                others = {s: other.losses[s] for s in other.blocked_starts}
+                surplus = len(suspect.possible_starts) - len(shared)
+                is_narrower = compute_narrowness(shared) <= compute_narrowness(others)
+                if is_narrower or surplus >= MIN_SURPLUS_LOSSES:
+                    yield part
+
+    def _get_updated_suspect(self, part, now):
+        self._drop_old(now)
+        suspect = self._suspects.setdefault(part, PartSuspect())
+        suspect.updated_at = now
+        self._suspects.move_to_end(part)
+        if len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[self._choose_surplus()]
+        return suspect
+
+    def _drop_old(self, now):
+        while self._suspects:
+            part, suspect = next(iter(self._suspects.items()))
+            if now - suspect.updated_at <= LOSS_RETENTION_S:
+                return
+            del self._suspects[part]
+
+    def _choose_surplus(self):
+        oldest = next(iter(self._suspects))
+        return next(
+            (p for p, suspect in self._suspects.items() if len(suspect.losses) < 2),
+            oldest,
+        )
+
+
+def compute_narrowness(losses):
+    """Return a sort key for the same losses of several parts, least for the culprit.
+
+    The culprit's runs are those that began last, and other parts were also in requests
+    that crashed nothing by themselves.
+    """
+    times = [loss.run_time_s for loss in losses.values()]
+    known = [CRASH_WINDOW_S / 2 if time_s is None else time_s for time_s in times]
+    requests = set().union(*(loss.requests for loss in losses.values()))
+    return sum(known) / len(known), len(requests)
+
+
+def _is_tied(part, evidence):
+    """Return whether another part has the same losses, which are still few."""
+    own = evidence[part]
+    if len(own.losses) >= MAX_TIED_LOSSES:
+        return False
+    return any(
+        other is not None and own.is_equal_to(other)
+        for other_part, other in evidence.items()
+        if other_part != part
+    )
--- a/src/merlinnotch/_poison/runs.py
+++ b/src/merlinnotch/_poison/runs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from .._fleet import UpstreamStart
+from .attribution import CRASH_WINDOW_S
 
 MAX_CRASH_DELAY_S = 1.0
 """A run that was abandoned or disconnected at most this long before its upstream ended
@@ -19,7 +20,9 @@
     *parts* are the fingerprints of the prompt parts that other requests may contain.
     *begun_at* is when the response head arrived, or None before that; without a stream
     it is when the request was sent. *abandoned_at* is when this instance abandoned the
-    run. *disconnected_at* is when the upstream closed the connection.
+    run. *disconnected_at* is when the upstream closed the connection. *has_response* is
+    set once the response head arrived, *last_read_at* is when data last arrived after
+    it. *has_survived* is set once the upstream is known to have survived the run.
     """
 
     fingerprint: bytes
@@ -28,6 +31,9 @@
     begun_at: float | None = None
     abandoned_at: float | None = None
     disconnected_at: float | None = None
+    has_response: bool = False
+    last_read_at: float | None = None
+    has_survived: bool = False
 
     @property
     def finished_at(self):
@@ -36,6 +42,26 @@
             self.abandoned_at if self.disconnected_at is None else self.disconnected_at
         )
 
+    @property
+    def is_waiting(self):
+        """Whether the request was sent and nothing of a response has arrived."""
+        return self.finished_at is None and not self.has_response
+
+    def record_read(self, now):
+        """Record that data arrived; return whether this shows that the run survived.
+
+        An upstream that crashes on a request does so as the run begins. Data that was
+        received much later than sent, as after a suspension of this process, proves
+        nothing, so the time since the previous read is limited too.
+        """
+        last_read_at, self.last_read_at = self.last_read_at, now
+        if self.has_survived or self.begun_at is None or last_read_at is None:
+            return False
+        return (
+            now - self.begun_at > CRASH_WINDOW_S
+            and now - last_read_at <= CRASH_WINDOW_S
+        )
+
 
 @dataclass(frozen=True)
 class Loss:
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -11,6 +11,7 @@
 from merlinnotch._fleet.records import blocked_key
 from merlinnotch._fleet.view import FleetView
 from merlinnotch._poison import BLOCK_S
+from merlinnotch._poison.part_attribution import MIN_EARLY_PART_LOSSES
 from merlinnotch._store import Item, Listing
 from tests.platform_world import Caller, wait_until
 from tests.poison.pool import POISON, FragilePool
@@ -341,3 +342,71 @@
     wait_until(lambda: len(one.view.list_upstreams("engines")) == 4)
     assert [send(one, body).is_complete for body in bystanders] == [True] * 8
     assert len(one.view.blocked) == 1
+
+
+PART = b"p" * 12
+
+
+def crash_with_part(fleet, name, number):
+    """Lose the upstream *number* by a request of instance *name* with the part."""
+    detector = fleet.detectors[name]
+    upstream = Upstream(f"i-{number}", "engines", "h:1", "a", "v1", 4)
+    run = detector.runs.open(b"request %d   " % number, upstream.start, (PART,))
+    run.begun_at = fleet.now
+    detector.record_connection_lost(run)
+    detector.record_connection_refused(upstream)
+
+
+def block_part(fleet):
+    for number in range(MIN_EARLY_PART_LOSSES):
+        crash_with_part(fleet, f"n-{number}", number)
+    fleet.evaluate()
+
+
+def list_blocking_part(fleet):
+    return {name for name, view in fleet.views.items() if PART in view.blocked}
+
+
+def test_losses_of_different_requests_with_one_part_block_it_on_all(fleet):
+    block_part(fleet)
+    assert list_blocking_part(fleet) == set(fleet.views)
+    assert fleet.list_blocking_instances() == set()
+    wait_until(lambda: fleet.store.keys == {blocked_key(PART)})
+
+
+def test_answer_that_began_after_the_first_loss_clears_a_part(fleet):
+    crash_with_part(fleet, "n-0", 50)
+    fleet.now += 1.0
+    detector = fleet.detectors["n-0"]
+    run = detector.runs.open(b"sound", UpstreamStart("i-99"), (PART,))
+    run.begun_at = fleet.now
+    detector.record_answered(run)
+    fleet.now += 1.0
+    for number in range(MIN_EARLY_PART_LOSSES - 1):
+        crash_with_part(fleet, f"n-{number}", number)
+    fleet.evaluate()
+    assert list_blocking_part(fleet) == set()
+
+
+def test_run_under_way_that_survives_lifts_the_block_of_its_part(fleet):
+    crash_with_part(fleet, "n-0", 50)
+    fleet.now += 0.1
+    detector = fleet.detectors["n-0"]
+    run = detector.runs.open(b"sound", UpstreamStart("i-99"), (PART,))
+    run.begun_at = fleet.now
+    block_part(fleet)
+    assert list_blocking_part(fleet) == set(fleet.views)
+    fleet.now += 1.0
+    detector.record_answered(run)
+    assert list_blocking_part(fleet) == set()
+    wait_until(lambda: not fleet.store.keys)
+
+
+def test_run_from_before_the_first_loss_does_not_lift_the_block(fleet):
+    detector = fleet.detectors["n-0"]
+    run = detector.runs.open(b"sound", UpstreamStart("i-99"), (PART,))
+    run.begun_at = fleet.now
+    fleet.now += 1.0
+    block_part(fleet)
+    detector.record_answered(run)
+    assert list_blocking_part(fleet) == set(fleet.views)
