Close new connections unread while the process falls behind

Callers: where most new connections went to one instance, most requests were answered after their callers had left. Of 3,000 at 1,000 a second 416 were served.

Cause: nothing bounded what an instance accepts; each connection got a green thread at once, all shared the processor and grew old together.

A timer shows how late the process runs its tasks; the number of new connections between two beats shrinks with each late one and grows again. The rest is reset unread, at some 50 us each, and counted.

--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -220,6 +220,7 @@
             self.load_exchange.run,
             self.relay_exchange.run,
             self.crash_detector.run,
+            self.gateway.run_beats,
             self._clean_up,
             self._remove_expired,
         ):
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -15,6 +15,7 @@
 )
 from .._fleet import CallerLimits
 from .._http import CallerConnection, Listener
+from .._limits import BEAT_INTERVAL_S, ConnectionGate
 from .blocking import find_block
 from .sources import CallerSource
 
@@ -48,7 +49,10 @@
         self.is_shutting_down = False
         self._shutdown_at = None
         self.in_flight = 0
-        self._listener = Listener(address, self._serve, sock, self._wait_until_ready)
+        self._gate = ConnectionGate()
+        self._listener = Listener(
+            address, self._serve, sock, self._wait_until_ready, self._try_accept
+        )
 
     def close(self):
         """Stop accepting connections."""
@@ -96,6 +100,18 @@
                 error = find_block(call, self._view.blocked, now)
                 interrupter.interrupt(error)
 
+    def run_beats(self):
+        """Record how late this process runs its tasks, until it ends."""
+        while True:
+            self._gate.record_beat(self._read_clock())
+            eventlet.sleep(BEAT_INTERVAL_S)
+
+    def _try_accept(self):
+        is_accepted = self._gate.try_accept()
+        if not is_accepted:
+            self._metrics.refusals.labels("connection").inc()
+        return is_accepted
+
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
         until = self._read_clock() + READY_TIMEOUT_S
--- a/src/merlinnotch/_http/listener.py
+++ b/src/merlinnotch/_http/listener.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.greenio import GreenSocket
 
-from .sockets import close_quietly, listen, set_socket_options
+from .sockets import close_quietly, listen, reset_on_close, set_socket_options
 
 logger = logging.getLogger("merlinnotch")
 
@@ -16,12 +16,21 @@
     """Accepts connections on *address* and calls *serve* with each socket.
 
     *sock* is a listening socket to use instead of opening *address*. *prepare* is
-    called once, before the first connection is accepted.
+    called once, before the first connection is accepted. Connections for which
+    *try_accept* returns false are reset before anything is read.
     """
 
-    def __init__(self, address, serve, sock=None, prepare=lambda: None):
+    def __init__(
+        self,
+        address,
+        serve,
+        sock=None,
+        prepare=lambda: None,
+        try_accept=lambda: True,
+    ):
         self._socket = listen(address) if sock is None else GreenSocket(sock)
         self._prepare = prepare
+        self._try_accept = try_accept
         host, port = self._socket.getsockname()
         self.address = f"{host}:{port}"
         self._serve = serve
@@ -42,7 +51,11 @@
                 logger.warning("accept failed", extra={"reason": str(error)})
                 eventlet.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            eventlet.spawn_n(self._handle_connection, sock)
+            if self._try_accept():
+                eventlet.spawn_n(self._handle_connection, sock)
+            else:
+                reset_on_close(sock)
+                close_quietly(sock)
 
     def _handle_connection(self, sock):
         try:
--- a/src/merlinnotch/_limits/__init__.py
+++ b/src/merlinnotch/_limits/__init__.py
@@ -2,11 +2,14 @@
 
 from .adaptive import AdaptiveLimit
 from .budget import RetryBudget
+from .connection_gate import BEAT_INTERVAL_S, ConnectionGate
 from .queue import FairQueue, Waiter
 from .retry_after import jitter_retry_after, spread_retry_after
 from .sliding_window import SlidingWindowRetryBudget
 
 __all__ = [
+    "BEAT_INTERVAL_S",
+    "ConnectionGate",
     "AdaptiveLimit",
     "FairQueue",
     "RetryBudget",
--- /dev/null
+++ b/src/merlinnotch/_limits/connection_gate.py
@@ -0,0 +1,48 @@
+"""Closing new connections while the process falls behind."""
+
+BEAT_INTERVAL_S = 0.05
+"""Time between the beats of a timer that shows how late the process runs its tasks."""
+MAX_LAG_S = 0.025
+"""A beat is late after this time. A request takes several turns of the scheduler, each
+of which is as late as a beat."""
+INITIAL_WINDOW = 64.0
+"""Connections that are accepted between two beats, more than one process can serve."""
+MIN_WINDOW = 2.0
+WINDOW_DECREASE = 0.7
+"""Factor of the window after a late beat."""
+WINDOW_INCREASE = 1.05
+"""Factor of the window after a beat in time, small as the window is close to what the
+process can serve."""
+
+
+class ConnectionGate:
+    """Decides whether a new connection is accepted or closed before it is read.
+
+    It answers a load of new connections that exceeds what the process can serve.
+    Without a bound all requests share the processor and are answered late; with it,
+    those that are read are served, and the callers of the others meet another instance.
+
+    The number of connections that are accepted between two beats shrinks with each late
+    beat and grows while it is used up and the beats are in time.
+    """
+
+    def __init__(self):
+        self._due_at = None
+        self._window = INITIAL_WINDOW
+        self._accepted = 0
+
+    def record_beat(self, now):
+        """Record that the timer has fired; the next beat is due after the interval."""
+        if self._due_at is not None and now - self._due_at > MAX_LAG_S:
+            self._window = max(MIN_WINDOW, self._window * WINDOW_DECREASE)
+        elif self._accepted >= self._window or self._window < INITIAL_WINDOW:
+            self._window = self._window * WINDOW_INCREASE
+        self._accepted = 0
+        self._due_at = now + BEAT_INTERVAL_S
+
+    def try_accept(self):
+        """Return whether a new connection is accepted."""
+        if self._accepted >= self._window:
+            return False
+        self._accepted += 1
+        return True
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -7,8 +7,9 @@
 import json
 import sys
 
+import eventlet
 import pytest
-from eventlet.green import subprocess
+from eventlet.green import socket, subprocess
 
 from standins.platform_upstream import make_answer_script
 
@@ -40,3 +41,23 @@
     results = play_crowd(instance, rate, DURATION_S)
     read = sum(results.values()) - results.get("closed", 0)
     assert results.get("served", 0) >= MIN_SERVED_SHARE * read > 0
+
+
+def ask_ready(instance):
+    """Return the status line of the ready address, as the load balancer asks it."""
+    host, _, port = instance.settings.instance.ready_address.partition(":")
+    with socket.create_connection((host, int(port)), timeout=1.0) as sock:
+        sock.settimeout(1.0)
+        sock.sendall(b"GET /ready HTTP/1.1\r\nhost: h\r\n\r\n")
+        return sock.recv(100).partition(b"\r\n")[0]
+
+
+def test_overloaded_instance_says_in_time_that_it_is_ready(world):
+    world.add_upstream("i-1", make_answer_script())
+    instance = world.add_instance()
+    crowd = eventlet.spawn(play_crowd, instance, 1000, WARM_UP_S)
+    answers = []
+    while not crowd.dead:
+        answers.append(ask_ready(instance))
+        eventlet.sleep(0.2)
+    assert set(answers) == {b"HTTP/1.1 200 "}
--- /dev/null
+++ b/tests/limits/test_connection_gate.py
@@ -0,0 +1,121 @@
+"""Closing new connections while the process falls behind."""
+
+import pytest
+
+from merlinnotch._limits.connection_gate import (
+    BEAT_INTERVAL_S,
+    INITIAL_WINDOW,
+    MAX_LAG_S,
+    ConnectionGate,
+)
+
+COST_S = 0.0025
+"""Processor time of a request."""
+RESET_COST_S = 0.00005
+"""Processor time of a connection that is closed unread."""
+TURNS = 5
+"""Turns of the scheduler that a request takes."""
+PATIENCE_S = 0.5
+"""Time in which a caller wants its answer."""
+
+
+@pytest.fixture
+def gate():
+    return ConnectionGate()
+
+
+def count_accepted(gate, offered=1000):
+    return sum(gate.try_accept() for _ in range(offered))
+
+
+def record_beats(gate, count, lag_s, now=0.0):
+    """Record *count* beats, each *lag_s* late; return the time of the last one."""
+    for _ in range(count):
+        now += BEAT_INTERVAL_S + lag_s
+        gate.record_beat(now)
+    return now
+
+
+def test_process_in_time_accepts_connections(gate):
+    record_beats(gate, 100, 0.5 * MAX_LAG_S)
+    assert count_accepted(gate) >= INITIAL_WINDOW
+
+
+def test_late_process_accepts_few_connections(gate):
+    record_beats(gate, 20, 4 * MAX_LAG_S)
+    assert 0 < count_accepted(gate) <= 0.1 * INITIAL_WINDOW
+
+
+def test_connections_are_accepted_again_after_an_overload(gate):
+    now = record_beats(gate, 20, 4 * MAX_LAG_S)
+    record_beats(gate, 100, 0.0, now)
+    assert count_accepted(gate) >= INITIAL_WINDOW
+
+
+def test_suspension_of_the_process_refuses_no_usual_load(gate):
+    now = record_beats(gate, 10, 0.0)
+    record_beats(gate, 1, 3.0, now)
+    assert count_accepted(gate) >= 0.5 * INITIAL_WINDOW
+
+
+class EveryConnection:
+    """Accepts all connections."""
+
+    def record_beat(self, now):
+        pass
+
+    def try_accept(self):
+        return True
+
+
+def play(gate, rate, duration_s=10.0):
+    """Return how many requests were read and how many of them answered in time.
+
+    A scheduler gives each request a part of its processor time in each turn. Requests
+    of the first three seconds don't count.
+    """
+    now, arrived, beat_at = 0.0, 0, 0.0
+    in_progress = []
+    read = answered = 0
+    while now < duration_s:
+        turn_began_at = now
+        if now >= beat_at:
+            gate.record_beat(now)
+            beat_at = now + BEAT_INTERVAL_S
+        while arrived < now * rate:
+            connected_at = arrived / rate
+            arrived += 1
+            if gate.try_accept():
+                in_progress.append([connected_at, 0])
+                read += connected_at > 3.0
+            else:
+                now += RESET_COST_S
+        for request in in_progress:
+            now += COST_S / TURNS
+            request[1] += 1
+            is_over = request[1] == TURNS
+            is_in_time = now - request[0] <= PATIENCE_S
+            answered += is_over and is_in_time and request[0] > 3.0
+        in_progress = [request for request in in_progress if request[1] < TURNS]
+        now = max(now, turn_began_at + 0.001)
+    return read, answered
+
+
+@pytest.mark.parametrize("rate", [450, 800, 1600, 5000])
+def test_most_requests_that_are_read_are_answered_in_time(rate):
+    read, answered = play(ConnectionGate(), rate)
+    assert answered >= 0.75 * read > 0
+    # All requests that there is processor time for, less that of the closed ones.
+    available = (1.0 - RESET_COST_S * rate) / COST_S
+    assert answered >= 0.6 * 7.0 * min(rate, available)
+
+
+def test_without_a_bound_no_request_is_answered_in_time():
+    read, answered = play(EveryConnection(), 800)
+    assert answered < 0.05 * read
+
+
+def test_usual_load_is_accepted():
+    read, answered = play(ConnectionGate(), 300)
+    assert answered >= 0.99 * read
+    assert read >= 0.99 * 300 * 7.0
