End a block on one instance first

A block ended on all instances at once, after ten minutes by the timer of each. Requests with a part that still crashes upstreams then came from all callers, and as losses were forgotten at that same moment, it took four more crashes to block it again.

The first evaluator ends a block 5 s earlier than all others. A crash there renews it on all, as losses are kept for twice the time of a block; a run that survives, or no crash, ends it.

test_block_expires_on_all_instances expected the end on all instances at one moment, which is what was wrong; its replacement checks the end on one instance, then on all, and the renewal by one crash. list_blocking_instances of these tests looks at the list itself, as a block holds until it is removed.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -47,6 +47,9 @@
 MAX_REPORTED = 4096
 """Reported requests of this instance whose next complete answer is sent to the
 evaluators."""
+FIRST_EXPIRY_LEAD_S = 5.0
+"""Time by which a block ends earlier on the first evaluator than on all others. A crash
+there renews the block before the other instances send such requests."""
 WRITE_RETRY_DELAY_S = 1.0
 """Pause before another attempt to write a block to the store."""
 
@@ -188,9 +191,13 @@
     def sweep(self, now):
         """Drop outdated runs and lift expired blocks."""
         self.runs.drop_old(now)
-        for fingerprint in self._view.blocked.list_expired(now):
+        ranked = self._rank_evaluators()
+        is_first = ranked[0] == self._name
+        expired_at = now if is_first else now - FIRST_EXPIRY_LEAD_S
+        for fingerprint in self._view.blocked.list_expired(expired_at):
             self._unblock(fingerprint)
-            if self._rank_evaluators()[0] == self._name:
+            # The deletion ends the block on all instances.
+            if ranked[:2][-1] == self._name:
                 eventlet.spawn_n(self._delete_block, fingerprint)
 
     def _wait_for_reports(self):
@@ -315,6 +322,8 @@
         now = self._read_clock()
         if self._view.blocked.add(fingerprint, now):
             _log_blocked(fingerprint, starts, "reported")
+        else:
+            self._view.blocked.renew(fingerprint, now)
         self._evaluator.attribute(fingerprint, starts, now)
         self._parts.attributor.attribute(fingerprint, starts)
         ranked = self._rank_evaluators()
--- a/src/merlinnotch/_gateway/blocking.py
+++ b/src/merlinnotch/_gateway/blocking.py
@@ -4,6 +4,9 @@
 from .._poison import fingerprint_parts
 
 MAX_LOGGED_ID_LENGTH = 64
+MIN_REMAINING_S = 5.0
+"""Least time for which callers are sent away. A block is in force until it is removed,
+which is a moment after its end on most instances."""
 
 
 def find_block(call, blocked, now):
@@ -15,9 +18,9 @@
     if not len(blocked):
         return None
     for key in call.crash_keys:
-        remaining_s = blocked.get_remaining_s(key, now)
-        if remaining_s > 0.0:
-            return _build_error(call, key, remaining_s)
+        if key in blocked:
+            remaining_s = blocked.get_remaining_s(key, now)
+            return _build_error(call, key, max(MIN_REMAINING_S, remaining_s))
     return None
 
 
--- a/src/merlinnotch/_poison/attribution.py
+++ b/src/merlinnotch/_poison/attribution.py
@@ -7,6 +7,8 @@
 import collections
 from dataclasses import dataclass, field
 
+from .blocked import BLOCK_S
+
 CRASH_WINDOW_S = 0.5
 """A loss is early if the upstream ended within this time of the start of the run, see
 :attr:`Run.begun_at`. Most other requests on a crashed upstream began earlier."""
@@ -17,8 +19,9 @@
 """A request is blocked once it has this many losses, early or not: an upstream may end
 before it is known that the run began. A request that only shares its upstreams with
 the one that crashes them seldom has that many."""
-LOSS_RETENTION_S = 600.0
-"""How long the losses of a request count. The time restarts with each loss."""
+LOSS_RETENTION_S = 2 * BLOCK_S
+"""How long the losses of a request count, so that one more loss after its block has
+ended renews the block. The time restarts with each loss."""
 MAX_SUSPECTS = 4096
 """Limit on the suspects kept. The least recently updated are dropped first."""
 
--- a/src/merlinnotch/_poison/blocked.py
+++ b/src/merlinnotch/_poison/blocked.py
@@ -30,6 +30,10 @@
         self.on_added(fingerprint)
         return True
 
+    def renew(self, fingerprint, now):
+        """Let the block of a fingerprint that is blocked begin at *now*."""
+        self._blocked_until[fingerprint] = now + BLOCK_S
+
     def remove(self, fingerprint):
         """Unblock a fingerprint."""
         self._blocked_until.pop(fingerprint, None)
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -4,7 +4,11 @@
 import pytest
 
 from merlinnotch._entry import crash_detector
-from merlinnotch._entry.crash_detector import MAX_EVALUATORS, CrashDetector
+from merlinnotch._entry.crash_detector import (
+    FIRST_EXPIRY_LEAD_S,
+    MAX_EVALUATORS,
+    CrashDetector,
+)
 from merlinnotch._entry.datagrams import MessageKind
 from merlinnotch._errors import StoreUnavailable
 from merlinnotch._fleet import PeerAddress, Upstream, UpstreamStart
@@ -105,11 +109,7 @@
         eventlet.sleep(0)
 
     def list_blocking_instances(self):
-        return {
-            name
-            for name, view in self.views.items()
-            if view.blocked.get_remaining_s(CULPRIT, self.now)
-        }
+        return {name for name, view in self.views.items() if CULPRIT in view.blocked}
 
 
 @pytest.fixture
@@ -127,6 +127,12 @@
     wait_until(lambda: fleet.store.keys == {blocked_key(CULPRIT)})
 
 
+def block_culprit(fleet):
+    for number in range(3):
+        fleet.crash_upstream("n-0", f"i-{number}")
+    fleet.evaluate()
+
+
 def open_run(fleet, name, upstream_id):
     """Return a request's run that has just begun, and its upstream."""
     upstream = Upstream(upstream_id, "engines", "h:1", "a", "v1", 4)
@@ -264,14 +270,19 @@
     wait_until(lambda: fleet.store.keys)
 
 
-def test_block_expires_on_all_instances(fleet):
-    for number in range(3):
-        fleet.crash_upstream("n-0", f"i-{number}")
-    fleet.evaluate()
-    fleet.now += BLOCK_S
+def sweep(fleet):
     for detector in fleet.detectors.values():
         detector._delete_block = lambda fingerprint: None
         detector.sweep(fleet.now)
+
+
+def test_block_ends_on_one_instance_first_then_on_all(fleet):
+    block_culprit(fleet)
+    fleet.now += BLOCK_S
+    sweep(fleet)
+    assert len(fleet.list_blocking_instances()) == len(fleet.views) - 1
+    fleet.now += FIRST_EXPIRY_LEAD_S
+    sweep(fleet)
     assert fleet.list_blocking_instances() == set()
     fleet.evaluate()
     assert fleet.list_blocking_instances() == set()
@@ -280,6 +291,29 @@
     assert fleet.list_blocking_instances() == set(fleet.views)
 
 
+def test_crash_on_the_instance_where_a_block_ends_first_renews_it_on_all(fleet):
+    block_culprit(fleet)
+    fleet.now += BLOCK_S
+    sweep(fleet)
+    (first,) = fleet.views.keys() - fleet.list_blocking_instances()
+    fleet.crash_upstream(first, "i-9")
+    fleet.evaluate()
+    assert fleet.list_blocking_instances() == set(fleet.views)
+    fleet.now += BLOCK_S - 1.0
+    sweep(fleet)
+    assert fleet.list_blocking_instances() == set(fleet.views)
+
+
+def test_one_more_crash_after_the_block_of_a_part_has_ended_renews_it(fleet):
+    block_part(fleet)
+    fleet.now += BLOCK_S
+    sweep(fleet)
+    (first,) = fleet.views.keys() - list_blocking_part(fleet)
+    crash_with_part(fleet, first, 99)
+    fleet.evaluate()
+    assert list_blocking_part(fleet) == set(fleet.views)
+
+
 def send(process, body=POISON):
     return Caller(process).send(STREAM_PATH + "a", "POST", body)
 
