--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -1,15 +1,14 @@
 """Detection of requests and prompt parts that crash upstreams, by all instances."""
 
 import logging
-import math
 
 import eventlet
 import eventlet.queue
 
-from .._errors import StoreConflict, StoreError
 from .._fleet import UpstreamStart
-from .._fleet.records import blocked_key
 from .._poison import CrashAttributor, PartTracker, RecentSet, RunTable
+from .block_writer import WRITE_RETRY_DELAY_S, BlockWriter
+from .crash_log import log_blocked, log_losses
 from .datagrams import MessageKind
 from .loss_messages import (
     PartReport,
@@ -35,8 +34,6 @@
 TAKEOVER_DELAY_S = 0.25
 """Additional delay of each evaluator in the ranking. The ones ranked before it have
 sent their result by then unless they are stopped or unreachable."""
-MAX_LOGGED_LOSSES = 8
-"""Losses listed in the log line about an upstream that ended, the latest runs first."""
 MAX_STARTS = 30
 """Upstreams listed with a blocked request in one message."""
 ANSWER_VALIDITY_S = 60.0
@@ -50,8 +47,6 @@
 FIRST_EXPIRY_LEAD_S = 5.0
 """Time by which a block ends earlier on the first evaluator than on all others. A crash
 there renews the block before the other instances send such requests."""
-WRITE_RETRY_DELAY_S = 1.0
-"""Pause before another attempt to write a block to the store."""
 
 
 class CrashDetector:
@@ -66,12 +61,12 @@
     def __init__(self, transport, store, view, name, read_clock):
         self.runs = RunTable()
         self._transport = transport
-        self._store = store
         self._view = view
         self._name = name
         self._read_clock = read_clock
         self._ranking = InstanceRanking(name, view)
         self._evaluator = CrashAttributor(view.blocked)
+        self._writer = BlockWriter(store, view.blocked, read_clock)
         self._parts = PartTracker(view.blocked)
         self._wakeups = eventlet.queue.LightQueue(1)
         self._last_loss_at = 0.0
@@ -131,7 +126,7 @@
         if not losses:
             return
         now = self._read_clock()
-        _log_losses(start, losses)
+        log_losses(start, losses)
         self._report_request_losses(start, losses, now)
         self._report_part_losses(start, losses, now)
 
@@ -179,7 +174,7 @@
         peers = self._ranking.find_addresses(self._view.peers)
         self._transport.send(MessageKind.CLEARED, [fingerprint], peers)
         self._clear_suspicion(fingerprint)
-        eventlet.spawn_n(self._delete_block, fingerprint)
+        eventlet.spawn_n(self._writer.delete, fingerprint)
 
     def run(self):
         """Evaluate suspects until the process ends."""
@@ -198,7 +193,7 @@
             self._unblock(fingerprint)
             # The deletion ends the block on all instances.
             if ranked[:2][-1] == self._name:
-                eventlet.spawn_n(self._delete_block, fingerprint)
+                eventlet.spawn_n(self._writer.delete, fingerprint)
 
     def _wait_for_reports(self):
         """Wait until no reports arrive, then for this evaluator's takeover delay."""
@@ -221,38 +216,11 @@
             self._announce_block(fingerprint, starts, "request")
 
     def _announce_block(self, fingerprint, starts, culprit):
-        _log_blocked(fingerprint, starts, culprit)
+        log_blocked(fingerprint, starts, culprit)
         rows = [[start.id, start.started_ms] for start in starts[-MAX_STARTS:]]
         peers = self._ranking.find_addresses(self._view.peers)
         self._transport.send(MessageKind.BLOCKED, [fingerprint, rows], peers)
-        eventlet.spawn_n(self._store_block, fingerprint)
-
-    def _store_block(self, fingerprint, delay_s=0.0):
-        """Write the block to the store after *delay_s*, unless it is there already.
-
-        Blocks held only by instances would be lost in a restart of the whole fleet.
-        """
-        eventlet.sleep(delay_s)
-        blocked = self._view.blocked
-        while blocked.get_remaining_s(fingerprint, self._read_clock()):
-            if blocked.is_stored(fingerprint):
-                return
-            try:
-                self._store.put(blocked_key(fingerprint), b"")
-            except StoreError as error:
-                logger.info("failed to store the block", extra={"reason": str(error)})
-                eventlet.sleep(WRITE_RETRY_DELAY_S)
-            else:
-                return
-
-    def _delete_block(self, fingerprint):
-        key = blocked_key(fingerprint)
-        try:
-            item = self._store.read(key).get(key)
-            if item is not None:
-                self._store.delete(key, item.modify_index)
-        except (StoreError, StoreConflict) as error:
-            logger.info("failed to delete the block", extra={"reason": str(error)})
+        eventlet.spawn_n(self._writer.write, fingerprint)
 
     def _unblock(self, fingerprint):
         if fingerprint in self._view.blocked:
@@ -321,7 +289,7 @@
         starts = [UpstreamStart(*row) for row in rows]
         now = self._read_clock()
         if self._view.blocked.add(fingerprint, now):
-            _log_blocked(fingerprint, starts, "reported")
+            log_blocked(fingerprint, starts, "reported by a peer")
         else:
             self._view.blocked.renew(fingerprint, now)
         self._evaluator.attribute(fingerprint, starts, now)
@@ -330,7 +298,7 @@
         if self._name in ranked:
             # The evaluator that blocked it may stop before writing the block.
             delay_s = (1 + ranked.index(self._name)) * WRITE_RETRY_DELAY_S
-            eventlet.spawn_n(self._store_block, fingerprint, delay_s)
+            eventlet.spawn_n(self._writer.write, fingerprint, delay_s)
 
     def _rank_evaluators(self):
         return self._ranking.rank(EVALUATORS_KEY)[:MAX_EVALUATORS]
@@ -338,28 +306,3 @@
     def _list_evaluator_addresses(self):
         """Return the addresses of the evaluators other than this instance."""
         return self._ranking.find_addresses(self._rank_evaluators())
-
-
-def _log_blocked(fingerprint, starts, culprit):
-    upstreams = [start.id for start in starts]
-    fields = {"fingerprint": fingerprint.hex(), "upstreams": upstreams}
-    fields["culprit"] = culprit
-    logger.warning("request blocked", extra=fields)
-
-
-def _log_losses(start, losses):
-    """Log which requests were running on an upstream that ended, and for how long."""
-    latest = sorted(
-        losses,
-        key=lambda loss: math.inf if loss.run_time_s is None else loss.run_time_s,
-    )
-    runs = [
-        {
-            "fingerprint": loss.fingerprint.hex(),
-            "run_ms": loss.run_time_s and round(loss.run_time_s * 1000.0, 1),
-            "parts": [part.hex() for part in loss.parts],
-        }
-        for loss in latest[:MAX_LOGGED_LOSSES]
-    ]
-    fields = {"upstream": start.id, "losses": len(losses), "latest": runs}
-    logger.info("upstream ended", extra=fields)
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -200,7 +200,7 @@
         for detector in fleet.detectors.values()
         if detector._rank_evaluators()[0] == detector._name
     )
-    first._store_block = lambda fingerprint, delay_s=0.0: None
+    first._writer.write = lambda fingerprint, delay_s=0.0: None
     first._block_crashing_requests(fleet.now)
     wait_until(lambda: fleet.store.keys)
 
@@ -262,7 +262,7 @@
 
 
 def test_block_is_written_until_the_store_accepts_it(fleet, monkeypatch):
-    monkeypatch.setattr("merlinnotch._entry.crash_detector.WRITE_RETRY_DELAY_S", 0.01)
+    monkeypatch.setattr("merlinnotch._entry.block_writer.WRITE_RETRY_DELAY_S", 0.01)
     fleet.store.failures = 3 * MAX_EVALUATORS
     for number in range(3):
         fleet.crash_upstream("n-0", f"i-{number}")
@@ -272,7 +272,7 @@
 
 def sweep(fleet):
     for detector in fleet.detectors.values():
-        detector._delete_block = lambda fingerprint: None
+        detector._writer.delete = lambda fingerprint: None
         detector.sweep(fleet.now)
 
 
