--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -6,6 +6,8 @@
 import pytest
 from eventlet.event import Event
 
+from merlinnotch._entry.clock import read_clock
+from merlinnotch._poison import fingerprint_parts
 from merlinnotch._relay import RELAY_FIELD, RelayMark, encode_mark
 from standins.platform_upstream import (
     hang,
@@ -440,3 +442,37 @@
     partitioned, peer = start_pair(a=make_answer_script())
     assert Caller(partitioned).send(PLAIN_PATH).status == 200
     assert get_count(peer, "received", "accepted") == 1
+
+
+PROMPT = "aa01:100,bb02:50,cc03:10"
+BLOCKED_PART = fingerprint_parts(["bb02", ""])[0]
+
+
+def send_prompt(process):
+    return Caller(process).send(
+        STREAM_PATH + "a", "POST", b"body", x_prompt_prefix=PROMPT
+    )
+
+
+def test_request_with_a_part_that_only_the_peer_knows_as_blocked_is_refused(
+    world, start_pair
+):
+    partitioned, peer = start_pair(i1=make_stream_script())
+    peer.view.blocked.add(BLOCKED_PART, read_clock())
+    answer = send_prompt(partitioned)
+    assert answer.status == 503
+    assert b"request_blocked" in answer.body
+    assert world.upstreams["i1"].requests == []
+
+
+def test_relayed_request_that_waits_is_abandoned_when_its_part_is_blocked(
+    world, start_pair
+):
+    partitioned, peer = start_pair(i1=hang)
+    upstream = world.upstreams["i1"]
+    call = eventlet.spawn(send_prompt, partitioned)
+    wait_until(lambda: upstream.requests)
+    peer.view.blocked.add(BLOCKED_PART, read_clock())
+    assert call.wait().status == 502
+    wait_until(lambda: upstream.disconnect_count == 1)
+    assert len(upstream.requests) == 1
