Part attribution: count crashes after a block for the blocked part

Requests that were under way when a part was blocked could crash upstreams for which the part then didn't account, so that their other parts were suspected. Found by reading; the new test failed before. The blocked suspects are listed once for an evaluation.

--- a/src/merlinnotch/_poison/part_attribution.py
+++ b/src/merlinnotch/_poison/part_attribution.py
@@ -193,7 +193,7 @@
         verdicts = []
         while (part := self._find_crashing_part()) is not None:
             suspect = self._suspects[part]
-            acquitted = tuple(self._find_explained(suspect))
+            acquitted = tuple(self._find_explained(suspect, self._find_blocked()))
             for other in acquitted:
                 self._blocked.remove(other)
                 del self._suspects[other]
@@ -204,12 +204,20 @@
             verdicts.append(PartVerdict(part, starts, acquitted))
         return verdicts
 
+    def _find_blocked(self):
+        """Return the blocked suspects by part."""
+        return {
+            part: suspect
+            for part, suspect in self._suspects.items()
+            if part in self._blocked
+        }
+
     def _find_crashing_part(self):
+        blocked = self._find_blocked()
         evidence = {
-            part: self._select_evidence(suspect)
+            part: self._select_evidence(suspect, blocked)
             for part, suspect in self._suspects.items()
-            if part not in self._blocked
-            and len(suspect.losses) >= MIN_EARLY_PART_LOSSES
+            if part not in blocked and len(suspect.losses) >= MIN_EARLY_PART_LOSSES
         }
         sufficient = [
             part
@@ -221,16 +229,20 @@
             return None
         return part
 
-    def _select_evidence(self, suspect):
-        """Return the :class:`Evidence` against a part, None if there is no new loss."""
-        explained = set(self._find_explained(suspect))
+    def _select_evidence(self, suspect, blocked):
+        """Return the :class:`Evidence` against a part, None if there is no new loss.
+
+        *blocked* are the blocked suspects by part.
+        """
+        explained = set(self._find_explained(suspect, blocked))
         attributed = set()
         open_starts = suspect.possible_starts - suspect.blocked_starts
-        for part, other in self._suspects.items():
-            if part in self._blocked:
-                open_starts -= other.blocked_starts
-                if part not in explained:
-                    attributed |= other.blocked_starts
+        for part, other in blocked.items():
+            # A request that was under way may crash an upstream after the block.
+            crashed_starts = other.possible_starts | other.blocked_starts
+            open_starts -= crashed_starts
+            if part not in explained:
+                attributed |= crashed_starts
         if not open_starts:
             return None
         losses = {
@@ -244,18 +256,11 @@
         )
         return Evidence(losses, suspect.usage, suspect.depth, end_count)
 
-    def _find_explained(self, suspect):
+    def _find_explained(self, suspect, blocked):
         """Yield the blocked parts whose losses *suspect* explains at least as well."""
-        for part, other in self._suspects.items():
-            if part not in self._blocked or part in self._acquitted:
-                continue
-            if other.blocked_starts and other.blocked_starts < suspect.possible_starts:
-                shared = {s: suspect.losses[s] for s in other.blocked_starts}
-                others = {s: other.losses[s] for s in other.blocked_starts}
-                surplus = len(suspect.possible_starts) - len(shared)
-                is_narrower = compute_narrowness(shared) <= compute_narrowness(others)
-                if is_narrower or surplus >= MIN_SURPLUS_LOSSES:
-                    yield part
+        for part, other in blocked.items():
+            if part not in self._acquitted and _explains(suspect, other):
+                yield part
 
     def _get_updated_suspect(self, part, now):
         self._drop_old(now)
@@ -293,6 +298,18 @@
     return sum(known) / len(known), len(requests)
 
 
+def _explains(suspect, other):
+    """Return whether *suspect* was lost wherever *other* was, and is as likely."""
+    starts = other.blocked_starts
+    if not starts or not starts < suspect.possible_starts:
+        return False
+    if len(suspect.possible_starts) - len(starts) >= MIN_SURPLUS_LOSSES:
+        return True
+    own_losses = {start: suspect.losses[start] for start in starts}
+    other_losses = {start: other.losses[start] for start in starts}
+    return compute_narrowness(own_losses) <= compute_narrowness(other_losses)
+
+
 def _is_tied(part, evidence):
     """Return whether another part has the same losses, which are still few."""
     own = evidence[part]
--- a/tests/poison/test_part_attribution.py
+++ b/tests/poison/test_part_attribution.py
@@ -125,6 +125,17 @@
     assert block_culprits(attributor) == []
 
 
+def test_crashes_under_way_when_a_part_is_blocked_do_not_count_against_others(
+    attributor,
+):
+    for number in FIRST_STARTS:
+        record_loss(attributor, number, (DEADLY,))
+    assert block_culprits(attributor) == [DEADLY]
+    for number in range(50, 50 + MIN_EARLY_PART_LOSSES):
+        record_loss(attributor, number, (OTHER, DEADLY))
+    assert block_culprits(attributor) == []
+
+
 def test_part_that_explains_more_than_a_blocked_one_acquits_it(attributor, blocked):
     for number in FIRST_STARTS:
         record_loss(attributor, number, (OTHER,), run_time_s=0.05)
