Soak: requests with a deadly prompt part, and a start that is waited for

The soak sends requests with a part that crashes upstreams, no two alike, beside all other faults.

Upstreams that a blocked request crashed no longer count in the share that a part must explain; the new test failed before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,7 @@
 from merlinnotch._entry.clock import read_clock
 from tests.platform_world import HOST, ONCE_PATH, PLAIN_PATH, STREAM_PATH, Answer
 
-from .history import POISON, Outcome
+from .history import COMMON_PART, DEADLY_PART, POISON, Outcome
 
 READ_TIMEOUT_S = 6.0
 PATHS = {
@@ -14,8 +14,15 @@
     "once": ONCE_PATH,
     "stream": STREAM_PATH,
     "poison": STREAM_PATH,
+    "deadly": STREAM_PATH,
 }
 BODIES = {"plain": b"", "once": b"body", "stream": b"body", "poison": POISON}
+PROMPT_PARTS = {
+    "stream": (COMMON_PART,),
+    "poison": (COMMON_PART,),
+    "deadly": (COMMON_PART, DEADLY_PART),
+}
+"""Prompt parts of each kind that other requests have too."""
 RECV_SIZE = 65536
 
 
@@ -120,12 +127,23 @@
         return "poison"
 
 
+class DeadlyPartCaller(SoakCaller):
+    """Client whose requests have a prompt part that crashes upstreams in common."""
+
+    def _choose_kind(self):
+        return "deadly"
+
+
 def _encode(kind, attempt_id, key):
     method = "GET" if kind == "plain" else "POST"
     lines = [f"{method} {PATHS[kind]}x HTTP/1.1", f"host: {HOST}"]
     lines += [f"x-attempt-id: {attempt_id}", f"x-credential: {key}"]
     lines += ["x-deadline-ms: 4000"]
-    body = BODIES[kind]
+    parts = PROMPT_PARTS.get(kind)
+    if parts:
+        prompt = ",".join(f"{part}:10" for part in (*parts, attempt_id))
+        lines.append(f"x-prompt-prefix: {prompt}")
+    body = attempt_id.encode() if kind == "deadly" else BODIES[kind]
     if body:
         lines.append(f"content-length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/soak/history.py
+++ b/soak/history.py
@@ -11,10 +11,13 @@
 UNDISTURBED_S = 3.0
 """Time after a fault during which time bounds are not checked for the instance."""
 POISON = b"poison"
+COMMON_PART = "c0ffee01"
+DEADLY_PART = "dead0001"
 """Body of the request that crashes every upstream that runs it."""
 CRASHES_BEFORE_BLOCK = 3
+PART_CRASHES_BEFORE_BLOCK = 5
 MAX_CRASHES_AFTER_BLOCK = 3
-"""Upstreams that the request may still crash after CRASHES_BEFORE_BLOCK crashes."""
+"""Upstreams that a request or a part may still crash after so many crashes."""
 RECORDING_DELAY_S = 0.5
 """Allowed delay between an event and its entry in the history."""
 REST_REACTION_S = 0.5
@@ -88,7 +91,8 @@
     *key_versions* holds (time of the write, valid keys), *drained_at* maps upstream
     ids to times, *fault_spans* maps instance names to lists of (start, end).
     *stops* holds (instance, time of SIGTERM, time of exit), *crashes* holds (time,
-    attempt id) of each upstream that the poison request crashed. *interruptions* maps
+    attempt id) of each upstream that the poison request crashed, *part_crashes* of each
+    that a request with the deadly prompt part crashed. *interruptions* maps
     instances to the spans of their restarts and pauses, and upstreams to those in which
     their connections were cut. *limits* maps upstreams to lists of (time, requests per
     second that they name from then on, None without a limit).
@@ -103,6 +107,7 @@
     stops: list = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
     crashes: list = field(default_factory=list)
+    part_crashes: list = field(default_factory=list)
     interruptions: dict = field(default_factory=lambda: collections.defaultdict(list))
     limits: dict = field(default_factory=lambda: collections.defaultdict(list))
 
@@ -146,6 +151,7 @@
             _check_draining,
             _check_stops,
             _check_poison,
+            _check_deadly_part,
             _check_leaving,
             _check_rests,
             _check_limits,
@@ -253,12 +259,26 @@
 
 def _check_poison(history):
     """Yield a message if poison requests crash upstreams after they are blocked."""
-    if len(history.crashes) <= CRASHES_BEFORE_BLOCK:
-        return
-    blocked_from = history.crashes[CRASHES_BEFORE_BLOCK - 1][0]
+    late = _find_late_crashes(history, history.crashes, CRASHES_BEFORE_BLOCK)
+    if len(late) > MAX_CRASHES_AFTER_BLOCK:
+        yield f"upstreams crashed by a blocked request: {' '.join(late)}"
+
+
+def _check_deadly_part(history):
+    """Yield a message if a prompt part crashes upstreams after it is blocked."""
+    late = _find_late_crashes(history, history.part_crashes, PART_CRASHES_BEFORE_BLOCK)
+    if len(late) > MAX_CRASHES_AFTER_BLOCK:
+        yield f"upstreams crashed by a blocked prompt part: {' '.join(late)}"
+
+
+def _find_late_crashes(history, crashes, count_before_block):
+    """Return the attempts that crashed upstreams after the block was known."""
+    if len(crashes) <= count_before_block:
+        return []
+    blocked_from = crashes[count_before_block - 1][0]
     outcomes_by_attempt = {o.attempt_id: o for o in history.outcomes}
     late = []
-    for instant, attempt_id in history.crashes:
+    for instant, attempt_id in crashes:
         outcome = outcomes_by_attempt.get(attempt_id)
         if (
             outcome is None
@@ -267,8 +287,7 @@
             continue
         if history.is_undisturbed(outcome.instance, instant - UNDISTURBED_S, instant):
             late.append(attempt_id)
-    if len(late) > MAX_CRASHES_AFTER_BLOCK:
-        yield f"upstreams crashed by a blocked request: {' '.join(late)}"
+    return late
 
 
 def _check_leaving(history):
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -6,7 +6,7 @@
 import sys
 
 import eventlet
-from eventlet.green import subprocess
+from eventlet.green import socket, subprocess
 
 from merlinnotch._entry.clock import read_clock
 from standins.ports import PortPicker
@@ -83,6 +83,21 @@
         log.close()
         self.is_exit_expected = False
 
+    def wait_until_started(self, timeout_s):
+        """Wait until the process handles signals and listens to its peers.
+
+        Raises TimeoutError.
+        """
+        host, _, port = self.peer_address.rpartition(":")
+        with eventlet.Timeout(timeout_s, TimeoutError(f"{self.name} has not started")):
+            while True:
+                try:
+                    socket.create_connection((host, int(port))).close()
+                except OSError:
+                    eventlet.sleep(0.02)
+                else:
+                    return
+
     def send(self, signal_number):
         """Send a signal to the process if it is running."""
         if self.process.poll() is None:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -13,7 +13,15 @@
     write_stream,
 )
 
-from .history import POISON, STREAM_EVENTS, Arrival, Run, make_body, make_event
+from .history import (
+    DEADLY_PART,
+    POISON,
+    STREAM_EVENTS,
+    Arrival,
+    Run,
+    make_body,
+    make_event,
+)
 
 EVENT_INTERVAL_S = 0.03
 SLOW_ANSWER_S = 0.6
@@ -66,7 +74,9 @@
 
     def _run(self, request, write, attempt_id):
         if request.body == POISON:
-            return self._crash(request, write)
+            return self._crash(request, write, self._history.crashes)
+        if DEADLY_PART in request.fields.get("x-prompt-prefix", ""):
+            return self._crash(request, write, self._history.part_crashes)
         failure = self._choose_failure()
         if failure == "refused":
             return refuse(request, write)
@@ -97,9 +107,9 @@
         write(make_answer(request, make_body(attempt_id), extra=extra))
         return True
 
-    def _crash(self, request, write):
+    def _crash(self, request, write, crashes):
         attempt_id = request.fields.get("x-attempt-id", "")
-        self._history.crashes.append((read_clock(), attempt_id))
+        crashes.append((read_clock(), attempt_id))
         if self._is_streaming:
             first = int(request.fields.get("last-event-id", 0)) + 1
             events = [(n, make_event(attempt_id, n)) for n in (first, first + 1)]
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,7 @@
 from standins.platform_store import StandInStore
 from tests.platform_world import make_configuration
 
-from .callers import PoisonCaller, SoakCaller
+from .callers import DeadlyPartCaller, PoisonCaller, SoakCaller
 from .faults import FaultInjector, plan_all_faults
 from .history import History, find_violations
 from .instances import Instance
@@ -18,6 +18,8 @@
 from .upstreams import SoakUpstream
 
 STARTUP_S = 2.0
+"""Time in which instances that have started learn of each other."""
+MAX_STARTUP_S = 60.0
 SETTLE_S = 7.0
 """Wait after the last fault: the longest caller deadline plus the shutdown grace."""
 UPSTREAMS = (("app", 3), ("engines", 3))
@@ -51,6 +53,8 @@
         """Run for *duration_s* seconds; return a message for each violation."""
         for instance in self.instances:
             instance.start()
+        for instance in self.instances:
+            instance.wait_until_started(MAX_STARTUP_S)
         eventlet.sleep(STARTUP_S)
         started_at = read_clock()
         callers = [
@@ -60,7 +64,11 @@
         poison = PoisonCaller(
             "poison", self.instances, self.history, self._poison_generator
         )
-        callers.append(eventlet.spawn(poison.run, started_at + duration_s + 1.0))
+        deadly = DeadlyPartCaller(
+            "deadly", self.instances, self.history, self._poison_generator
+        )
+        for caller in (poison, deadly):
+            callers.append(eventlet.spawn(caller.run, started_at + duration_s + 1.0))
         watcher = eventlet.spawn(self._restart_exited)
         injector = FaultInjector(self)
         injections = []
--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -213,6 +213,7 @@
             for part in verdict.acquitted:
                 self._lift_block(part)
         for fingerprint, starts in self._evaluator.block_culprits(now):
+            self._parts.attributor.attribute(fingerprint, starts)
             self._announce_block(fingerprint, starts, "request")
 
     def _announce_block(self, fingerprint, starts, culprit):
--- a/src/merlinnotch/_poison/part_attribution.py
+++ b/src/merlinnotch/_poison/part_attribution.py
@@ -82,7 +82,7 @@
     """The losses that a part may have caused, and what is known of the part.
 
     *end_count* is how many upstreams ended since the first of the losses for which no
-    other part accounts.
+    other part and no blocked request accounts.
     """
 
     losses: dict
@@ -154,6 +154,7 @@
         self._blocked = blocked
         self._suspects = collections.OrderedDict()
         self._ended_at = collections.OrderedDict()
+        self._request_starts = collections.OrderedDict()
         self._acquitted = collections.deque(maxlen=MAX_ACQUITTED)
 
     def record_loss(self, loss, usages, now):
@@ -177,13 +178,22 @@
         if part not in self._blocked:
             self._suspects.pop(part, None)
 
-    def attribute(self, part, starts):
-        """Attribute the end of the upstreams *starts* to a part that was blocked."""
-        suspect = self._suspects.get(part)
-        if suspect is not None:
+    def attribute(self, fingerprint, starts):
+        """Attribute the end of the upstreams *starts* to what was blocked.
+
+        *fingerprint* is that of a part or of a request. A request may have crashed them
+        by one of its parts, so they still count against those.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
             for start in starts:
-                suspect.losses.setdefault(start, PartLoss())
-            suspect.blocked_starts.update(suspect.losses)
+                self._request_starts[start] = None
+            while len(self._request_starts) > MAX_ENDED:
+                self._request_starts.popitem(last=False)
+            return
+        for start in starts:
+            suspect.losses.setdefault(start, PartLoss())
+        suspect.blocked_starts.update(suspect.losses)
 
     def block_culprits(self, now):
         """Block the parts found; return a :class:`PartVerdict` for each.
@@ -250,8 +260,9 @@
             for start in suspect.possible_starts - attributed
         }
         since = min(self._ended_at.get(start, 0.0) for start in losses)
+        explained_starts = attributed | (self._request_starts.keys() - losses.keys())
         end_count = sum(
-            ended_at >= since and start not in attributed
+            ended_at >= since and start not in explained_starts
             for start, ended_at in self._ended_at.items()
         )
         return Evidence(losses, suspect.usage, suspect.depth, end_count)
--- a/tests/poison/test_part_attribution.py
+++ b/tests/poison/test_part_attribution.py
@@ -116,6 +116,17 @@
     assert block_culprits(attributor) == []
 
 
+def test_upstreams_that_a_blocked_request_crashed_do_not_count_for_a_part(attributor):
+    crashed = [make_start(100 + number) for number in range(2 * len(FIRST_STARTS))]
+    record_loss(attributor, 0, (DEADLY,))
+    for number in range(len(crashed)):
+        record_loss(attributor, 100 + number, (b"%d" % number,))
+    attributor.attribute(b"request", crashed)
+    for number in FIRST_STARTS:
+        record_loss(attributor, number, (DEADLY,))
+    assert block_culprits(attributor) == [DEADLY]
+
+
 def test_losses_beside_a_blocked_part_do_not_count_against_others(attributor):
     for number in FIRST_STARTS:
         record_loss(attributor, number, (OTHER, DEADLY))
