--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -1,6 +1,7 @@
 """The server for callers: connections, their requests and the request log."""
 
 import logging
+import math
 import random
 
 import eventlet
@@ -27,6 +28,8 @@
 READY_TIMEOUT_S = 0.6
 """Limit on how long callers of a new process wait for the first reply of the store."""
 READY_POLL_INTERVAL_S = 0.01
+OVERLOAD_LOG_PAUSE_S = 10.0
+"""An overload is logged if no connection was closed unread for this long before."""
 WRITE_TIMEOUT_S = 10.0
 """A connection is closed if the caller accepts no bytes for this long."""
 
@@ -50,6 +53,7 @@
         self._shutdown_at = None
         self.in_flight = 0
         self._gate = ConnectionGate()
+        self._last_closed_at = -math.inf
         self._listener = Listener(
             address, self._serve, sock, self._wait_until_ready, self._try_accept
         )
@@ -107,10 +111,14 @@
             eventlet.sleep(BEAT_INTERVAL_S)
 
     def _try_accept(self):
-        is_accepted = self._gate.try_accept()
-        if not is_accepted:
-            self._metrics.refusals.labels("connection").inc()
-        return is_accepted
+        if self._gate.try_accept():
+            return True
+        self._metrics.refusals.labels("connection").inc()
+        now = self._read_clock()
+        if now - self._last_closed_at > OVERLOAD_LOG_PAUSE_S:
+            logger.warning("overloaded; closing new connections unread")
+        self._last_closed_at = now
+        return False
 
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
