--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -15,7 +15,7 @@
 from merlinnotch._fleet.records import blocked_key
 from merlinnotch._fleet.view import FleetView
 from merlinnotch._poison import BLOCK_S
-from merlinnotch._poison.part_attribution import MIN_EARLY_PART_LOSSES
+from merlinnotch._poison.part_evidence import MIN_EARLY_PART_LOSSES
 from merlinnotch._store import Item, Listing
 from tests.platform_world import Caller, wait_until
 from tests.poison.pool import POISON, FragilePool
--- a/tests/poison/test_part_attribution.py
+++ b/tests/poison/test_part_attribution.py
@@ -8,8 +8,8 @@
     LOSS_RETENTION_S,
     MAX_SUSPECTS,
     MAX_TIED_LOSSES,
-    MIN_EARLY_PART_LOSSES,
 )
+from merlinnotch._poison.part_evidence import MIN_EARLY_PART_LOSSES
 
 from .part_model import DEADLY, Model, Settings
 
