Announce blocks again while the store doesn't hold them

An instance that was restarted while the store was unavailable knew of no block that was made meanwhile, and sent on what crashes upstreams: blocks were announced once, and kept for others in the store only. Found by reading; the new test failed before.

The first two evaluators announce each second what isn't known to be in the store (with one it failed where that one was restarted).

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -44,6 +44,9 @@
 MAX_REPORTED = 4096
 """Reported requests of this instance whose next complete answer is sent to the
 evaluators."""
+ANNOUNCER_COUNT = 2
+"""Evaluators that announce blocks which are not in the store. One of them may have been
+restarted itself."""
 FIRST_EXPIRY_LEAD_S = 5.0
 """Time by which a block ends earlier on the first evaluator than on all others. A crash
 there renews the block before the other instances send such requests."""
@@ -194,6 +197,18 @@
             # The deletion ends the block on all instances.
             if ranked[:2][-1] == self._name:
                 eventlet.spawn_n(self._writer.delete, fingerprint)
+        if self._name in ranked[:ANNOUNCER_COUNT]:
+            self._announce_unstored_blocks(now)
+
+    def _announce_unstored_blocks(self, now):
+        """Announce the blocks that started instances can't read from the store.
+
+        Those that end soon are left out, as the first evaluator ends them earlier.
+        """
+        peers = self._ranking.find_addresses(self._view.peers)
+        unstored = self._view.blocked.list_unstored(now + FIRST_EXPIRY_LEAD_S)
+        for fingerprint in unstored:
+            self._transport.send(MessageKind.BLOCKED, [fingerprint, []], peers)
 
     def _wait_for_reports(self):
         """Wait until no reports arrive, then for this evaluator's takeover delay."""
@@ -289,14 +304,15 @@
         fingerprint, rows = body
         starts = [UpstreamStart(*row) for row in rows]
         now = self._read_clock()
-        if self._view.blocked.add(fingerprint, now):
+        is_new = self._view.blocked.add(fingerprint, now)
+        if is_new:
             log_blocked(fingerprint, starts, "reported by a peer")
-        else:
+        elif starts:
             self._view.blocked.renew(fingerprint, now)
         self._evaluator.attribute(fingerprint, starts, now)
         self._parts.attributor.attribute(fingerprint, starts)
         ranked = self._rank_evaluators()
-        if self._name in ranked:
+        if is_new and self._name in ranked:
             # The evaluator that blocked it may stop before writing the block.
             delay_s = (1 + ranked.index(self._name)) * WRITE_RETRY_DELAY_S
             eventlet.spawn_n(self._writer.write, fingerprint, delay_s)
--- a/src/merlinnotch/_poison/blocked.py
+++ b/src/merlinnotch/_poison/blocked.py
@@ -47,6 +47,14 @@
         """Return whether the block is stored, so that new instances apply it."""
         return fingerprint in self._stored
 
+    def list_unstored(self, now):
+        """Return the fingerprints in force whose block isn't known to be stored."""
+        return [
+            fingerprint
+            for fingerprint, blocked_until in self._blocked_until.items()
+            if now < blocked_until and fingerprint not in self._stored
+        ]
+
     def get_remaining_s(self, fingerprint, now):
         """Return how many seconds a block lasts from *now* on, 0 without one."""
         return max(0.0, self._blocked_until.get(fingerprint, now) - now)
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -304,6 +304,26 @@
     assert fleet.list_blocking_instances() == set(fleet.views)
 
 
+@pytest.mark.parametrize("number", range(12))
+def test_restarted_instance_learns_of_a_block_while_the_store_is_unavailable(
+    fleet, number
+):
+    fleet.store.failures = 10**6
+    block_culprit(fleet)
+    fleet.views[f"n-{number}"].blocked.remove(CULPRIT)
+    sweep(fleet)
+    assert fleet.list_blocking_instances() == set(fleet.views)
+
+
+def test_stored_block_is_not_announced_again(fleet):
+    block_culprit(fleet)
+    for view in fleet.views.values():
+        view.blocked.mark_stored(CULPRIT)
+    fleet.sent.clear()
+    sweep(fleet)
+    assert fleet.sent == []
+
+
 def test_one_more_crash_after_the_block_of_a_part_has_ended_renews_it(fleet):
     block_part(fleet)
     fleet.now += BLOCK_S
