Retry budget: retries granted by requests expire after half a window

Cause: a process may spend at once what the requests of a whole window grant; its successor knows nothing of it and spends what its own requests grant in the same window. Class: a bound over a window that is kept in a process's memory starts anew with the process.

Change: a request grants its share of a retry for half a window, and a process grants none in its first half window, so that what its predecessor saved up and what it grants itself stay within the ratio. The bound over the whole window stays.

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -136,4 +136,5 @@
         retries.ratio * RETRY_BUDGET_SHARE,
         retries.window_s,
         OwnSlack(slack, name, view, started_at, retries.window_s).get,
+        started_at,
     )
--- a/src/merlinnotch/_gateway/retry_budgets.py
+++ b/src/merlinnotch/_gateway/retry_budgets.py
@@ -10,13 +10,15 @@
 
     In any *window_s* seconds the fleet may make *ratio* times its first attempts plus
     its slack retries. *get_own_slack* returns this instance's current share of the
-    slack for a service and a time, see :func:`share_slack`.
+    slack for a service and a time, see :func:`share_slack`. *started_at* is when the
+    process was started.
     """
 
-    def __init__(self, ratio, window_s, get_own_slack):
+    def __init__(self, ratio, window_s, get_own_slack, started_at):
         self._ratio = ratio
         self._window_s = window_s
         self._get_own_slack = get_own_slack
+        self._started_at = started_at
         self._budgets = {}
 
     def get(self, service, now):
@@ -24,7 +26,9 @@
         own_slack = self._get_own_slack(service, now)
         budget = self._budgets.get(service)
         if budget is None:
-            budget = SlidingWindowRetryBudget(self._ratio, own_slack, self._window_s)
+            budget = SlidingWindowRetryBudget(
+                self._ratio, own_slack, self._window_s, self._started_at
+            )
             self._budgets[service] = budget
         budget.reserve = own_slack
         return budget
--- a/tests/gateway/test_retry_budgets.py
+++ b/tests/gateway/test_retry_budgets.py
@@ -99,19 +99,29 @@
         for member in self.members.values():
             self.retries += [now] * member.spend_all(now)
 
-    def serve(self, start, seconds, actions=(), fails_from=0.0):
+    def serve(
+        self,
+        start,
+        seconds,
+        actions=(),
+        fails_from=0.0,
+        get_rate=lambda now: REQUESTS_PER_S,
+    ):
         """Serve requests that all fail from *fails_from* on.
 
-        *actions* are (time, action) pairs.
+        *actions* are (time, action) pairs. *get_rate* returns the requests per second.
         """
         actions = sorted(actions, key=lambda pair: pair[0])
         members = 0
+        due = 0.0
         for tick in range(int(seconds / TICK_S)):
             now = start + tick * TICK_S
             while actions and actions[0][0] <= now:
                 _, action = actions.pop(0)
                 action(self, now)
-            for _ in range(int(REQUESTS_PER_S * TICK_S)):
+            due += get_rate(now) * TICK_S
+            while due >= 1.0:
+                due -= 1.0
                 name = self.names[members % len(self.members)]
                 members += 1
                 budget = self.members[name].budgets.get(SERVICE, now)
@@ -188,6 +198,35 @@
     assert fleet.count_excess() <= 0
 
 
+@pytest.mark.parametrize("rate", [6, 55])
+@pytest.mark.parametrize("gap_s", [1.0, 2.0, 4.5, 8.0])
+@pytest.mark.parametrize("size", [4, 8])
+def test_restarts_amid_failures_grant_no_more_retries(size, gap_s, rate):
+    fleet = Fleet(size, ratio=RATIO)
+    restarts = [(NOW + 15.5 + gap_s * n, Fleet.restart_all) for n in range(4)]
+    fleet.serve(NOW, 45.0, restarts, NOW + 10.0, lambda now: rate)
+    assert fleet.count_excess() <= 0
+
+
+@pytest.mark.parametrize("size", [4, 8])
+def test_restarts_in_turn_amid_failures_grant_no_more_retries(size):
+    fleet = Fleet(size, ratio=RATIO)
+    restarts = [
+        (NOW + 12.0 + 0.5 * n, lambda fleet, now, n=n: fleet.start(fleet.names[n], now))
+        for n in [*range(size), *range(size)]
+    ]
+    fleet.serve(NOW, 45.0, restarts, NOW + 10.0, lambda now: 55)
+    assert fleet.count_excess() <= 0
+
+
+def test_restart_after_a_burst_grants_no_more_retries():
+    fleet = Fleet(8, ratio=RATIO)
+    restarts = [(NOW + 21.0, Fleet.restart_all)]
+    get_rate = lambda now: 55 if now < NOW + 20.0 else 5.5  # noqa: E731
+    fleet.serve(NOW, 45.0, restarts, NOW + 10.0, get_rate)
+    assert fleet.count_excess() <= 0
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_started_fleet_uses_its_slack_after_a_window(size):
     fleet = Fleet(size, started_at=NOW)
--- a/tests/limits/test_sliding_window.py
+++ b/tests/limits/test_sliding_window.py
@@ -59,6 +59,45 @@
     assert budget.try_acquire(10.1)
 
 
+def test_first_attempts_grant_retries_for_half_a_window():
+    budget = SlidingWindowRetryBudget(1.0, reserve=0.0, window_s=WINDOW_S)
+    for now in (0.0, 4.0):
+        budget.record_first_attempt(now)
+    assert budget.can_acquire(4.9, min_remaining=1.0)
+    assert not budget.can_acquire(5.0, min_remaining=1.0)
+    assert budget.try_acquire(8.9)
+    assert not budget.try_acquire(8.9)
+
+
+def test_retry_takes_the_tokens_that_expire_first():
+    budget = SlidingWindowRetryBudget(1.0, reserve=0.0, window_s=WINDOW_S)
+    for now in (0.0, 4.0):
+        budget.record_first_attempt(now)
+    assert budget.try_acquire(4.5)
+    assert budget.try_acquire(8.9)
+
+
+def test_reserve_adds_what_is_missing_to_a_token():
+    budget = SlidingWindowRetryBudget(0.75, reserve=0.5, window_s=WINDOW_S)
+    budget.record_first_attempt(0.0)
+    assert budget.try_acquire(0.0)
+    budget.record_first_attempt(6.0)
+    assert not budget.can_acquire(6.0, min_remaining=0.1)
+    assert budget.try_acquire(6.0)
+    budget.record_first_attempt(9.0)
+    assert not budget.try_acquire(9.0)
+
+
+def test_started_process_is_granted_retries_after_half_a_window():
+    budget = SlidingWindowRetryBudget(
+        1.0, reserve=0.0, window_s=WINDOW_S, started_at=100.0
+    )
+    budget.record_first_attempt(104.9)
+    assert not budget.try_acquire(104.9)
+    budget.record_first_attempt(105.0)
+    assert budget.try_acquire(105.0)
+
+
 @pytest.mark.parametrize("instances", [8, 72])
 def test_fleet_whose_callers_retry_everything_stays_within_the_bound(instances):
     generator = random.Random(instances)
