Forwarded changes: a message replaces a watch only once it is applied

What callers would see: an instance that lacks a change decides by the older configuration for up to the validity of a message (the bound less 0.7 s) longer than it has to.

Cause: ChangeForwarder renewed the validity when a message arrived. An instance that could neither fetch the changes that the message announces nor reach the store then waited for the next message, though it knew that it was behind. Class: freshness taken from the arrival of a message, not from what it vouches for.

Change: the validity is renewed when the changes are applied, from the time at which they arrived, and ends where they are missing.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -28,7 +28,8 @@
     *changes* are all changes after index *since*, None if they don't fit a message.
     *index* is the watcher's index after them, *sender* its address. *since_recovery_s*
     is the time since the store recovered from an outage, None without a recent one:
-    deletions shortly after an outage may be expired leases.
+    deletions shortly after an outage may be expired leases. *received_at* is when the
+    message arrived.
     """
 
     sender: str
@@ -36,6 +37,7 @@
     index: int
     changes: Changes | None
     since_recovery_s: float | None
+    received_at: float
 
 
 class ChangeForwarder:
@@ -55,7 +57,7 @@
         self._read_clock = read_clock
         self.in_force_s = in_force_s
         self._validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
-        self._received_at = None
+        self._valid_from = None
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
         transport.handle(MessageKind.CHANGES, self._handle_changes)
 
@@ -71,10 +73,10 @@
         return min(watch_s, self._validity_s - WATCH_MARGIN_S)
 
     def get_remaining_validity_s(self, now):
-        """Return for how many more seconds the last message replaces a watch."""
-        if self._received_at is None or self.is_watcher():
+        """Return for how many more seconds applied messages replace a watch."""
+        if self._valid_from is None or self.is_watcher():
             return 0.0
-        return max(0.0, self._received_at + self._validity_s - now)
+        return max(0.0, self._valid_from + self._validity_s - now)
 
     def forward(self, since, index, changes, since_recovery_s):
         """Forward a reply of the store if this instance is a watcher."""
@@ -90,19 +92,28 @@
     def wait(self, wait_s):
         """Return the next :class:`ForwardedChanges`, or None after *wait_s*."""
         try:
-            return self._queue.get(timeout=wait_s)
+            return self._queue.get(block=wait_s > 0, timeout=wait_s)
         except eventlet.queue.Empty:
             return None
 
+    def record_applied(self, forwarded):
+        """Record that this instance is up to date with a :class:`ForwardedChanges`."""
+        self._valid_from = forwarded.received_at
+
+    def record_missed(self):
+        """Record that this instance lacks changes that a watcher forwarded."""
+        self._valid_from = None
+
     def _handle_changes(self, body):
         sender, since, index, rows, since_recovery_s = body
         changes = None if rows is None else _decode_changes(rows, index)
         if self._queue.full():
             self._queue.get_nowait()
         self._queue.put_nowait(
-            ForwardedChanges(sender, since, index, changes, since_recovery_s)
+            ForwardedChanges(
+                sender, since, index, changes, since_recovery_s, self._read_clock()
+            )
         )
-        self._received_at = self._read_clock()
 
     def _list_recipients(self):
         """Return the addresses to forward to; empty if this instance doesn't watch."""
--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -60,11 +60,8 @@
         return self._has_full_copy and self._failing_since is None
 
     def _sync(self):
-        fresh_s = self._change_forwarder.get_remaining_validity_s(self._read_clock())
-        if self._has_full_copy and fresh_s > 0:
-            forwarded = self._change_forwarder.wait(fresh_s)
-            if forwarded is None or self._apply_forwarded(forwarded):
-                return
+        if self._follow_watchers():
+            return
         try:
             self._read_store()
         except ChangesExpired:
@@ -81,6 +78,24 @@
                 MAX_RETRY_DELAY_S, self._retry_delay_s * RETRY_BACKOFF_FACTOR
             )
 
+    def _follow_watchers(self):
+        """Apply the next forwarded changes; return False if the store has to be read.
+
+        Changes that arrived during a call to the store are still in the queue.
+        """
+        forwarder = self._change_forwarder
+        if not self._has_full_copy or forwarder.is_watcher():
+            return False
+        wait_s = forwarder.get_remaining_validity_s(self._read_clock())
+        forwarded = forwarder.wait(wait_s)
+        if forwarded is None:
+            return False
+        if not self._apply_forwarded(forwarded):
+            forwarder.record_missed()
+            return False
+        forwarder.record_applied(forwarded)
+        return True
+
     def _read_store(self):
         since = self._mirror.index
         if self._has_full_copy:
--- a/tests/entry/test_change_forwarder.py
+++ b/tests/entry/test_change_forwarder.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from merlinnotch._entry.datagrams import MessageKind
 from tests.platform_world import PORTS, make_configuration, wait_until
 
 NAMES = ("one", "two", "three", "four", "five")
@@ -36,12 +37,18 @@
     return value("merlinnotch_store_calls_total", {"kind": "watch"}) or 0
 
 
-def test_only_watchers_of_a_zone_call_the_store(world):
-    # A long validity keeps a slow machine from falling back to watches.
+def add_patient_zone(world):
+    """Return five instances that go without a message for 19 s."""
     world.add_upstream("i-1")
     zone = [world.add_instance(name, in_force_ms=20_000) for name in NAMES]
     for instance in zone:
         wait_until(lambda one=instance: len(one.view.peers) == len(NAMES))
+    return zone
+
+
+def test_only_watchers_of_a_zone_call_the_store(world):
+    # A long validity keeps a slow machine from falling back to watches.
+    zone = add_patient_zone(world)
     world.configure()
     for one in zone:
         wait_until(lambda one=one: get_version(one) == 2)
@@ -96,6 +103,25 @@
     wait_until(lambda: one.view.list_upstreams("app") == [], 1.0)
 
 
+def test_follower_that_lacks_changes_reads_the_store_until_it_has_them(world):
+    zone = add_patient_zone(world)
+    one, other, _ = list_followers(zone)
+    wait_until(
+        lambda: one.change_forwarder.get_remaining_validity_s(one.read_clock()) > 0
+    )
+    for watcher in list_watchers(zone):
+        watcher.stop()
+        world.instances.remove(watcher)
+    one.store.set_address(PORTS.pick("127.0.0.1"))
+    # Nobody can be asked for the changes that this message announces.
+    index = one.mirror.index
+    body = [PORTS.pick("127.0.0.1"), index + 1, index + 2, None, None]
+    recipients = [one.settings.instance.peer_address]
+    before = count_watches(one)
+    other.datagrams.send(MessageKind.CHANGES, body, recipients)
+    wait_until(lambda: count_watches(one) >= before + 3)
+
+
 def test_stopped_watcher_is_replaced(world, zone):
     stopped = list_watchers(zone)[0]
     stopped.stop()
