Forwarded changes: a message that waited for a frozen process is no news

What callers would see: an instance that was frozen decides by an older configuration for up to the length of the freeze plus the validity of a message.

Cause: messages that were sent before the freeze wait in the socket and renewed the validity when they were read. Class: freshness taken from the arrival of a message.

Change: a timer measures for how long the process didn't run; what is read right after a stall counts from its beginning.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -28,8 +28,8 @@
     *changes* are all changes after index *since*, None if they don't fit a message.
     *index* is the watcher's index after them, *sender* its address. *since_recovery_s*
     is the time since the store recovered from an outage, None without a recent one:
-    deletions shortly after an outage may be expired leases. *received_at* is when the
-    message arrived.
+    deletions shortly after an outage may be expired leases. *received_at* is the
+    earliest time at which the message may have arrived.
     """
 
     sender: str
@@ -45,10 +45,12 @@
 
     Instances that know the same peers select the same watchers, without an election. An
     instance that receives nothing in time watches the store itself. *in_force_s* is the
-    time limit for applying changes.
+    time limit for applying changes, *stalls* a :class:`StallMonitor`.
     """
 
-    def __init__(self, transport, name, zone, address, view, read_clock, in_force_s):
+    def __init__(
+        self, transport, name, zone, address, view, read_clock, in_force_s, stalls
+    ):
         self._transport = transport
         self._name = name
         self._zone = zone
@@ -56,6 +58,7 @@
         self._view = view
         self._read_clock = read_clock
         self.in_force_s = in_force_s
+        self._stalls = stalls
         self._validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
         self._valid_from = None
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
@@ -98,7 +101,9 @@
 
     def record_applied(self, forwarded):
         """Record that this instance is up to date with a :class:`ForwardedChanges`."""
-        self._valid_from = forwarded.received_at
+        if self._valid_from is None:
+            self._valid_from = forwarded.received_at
+        self._valid_from = max(self._valid_from, forwarded.received_at)
 
     def record_missed(self):
         """Record that this instance lacks changes that a watcher forwarded."""
@@ -107,11 +112,13 @@
     def _handle_changes(self, body):
         sender, since, index, rows, since_recovery_s = body
         changes = None if rows is None else _decode_changes(rows, index)
+        now = self._read_clock()
+        received_at = now - self._stalls.measure_current_s(now)
         if self._queue.full():
             self._queue.get_nowait()
         self._queue.put_nowait(
             ForwardedChanges(
-                sender, since, index, changes, since_recovery_s, self._read_clock()
+                sender, since, index, changes, since_recovery_s, received_at
             )
         )
 
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -37,6 +37,7 @@
 from .relay_exchange import RelayExchange
 from .rollout_controller import RolloutController
 from .slot_exchange import SlotExchange
+from .stalls import StallMonitor
 from .store_sync import StoreSync
 
 logger = logging.getLogger("merlinnotch")
@@ -102,6 +103,7 @@
         self.crash_detector = CrashDetector(
             self.datagrams, self.store, self.view, name, read_clock
         )
+        self._stalls = StallMonitor(read_clock)
         self.change_forwarder = ChangeForwarder(
             self.datagrams,
             name,
@@ -110,6 +112,7 @@
             self.view,
             read_clock,
             settings.store.in_force_s,
+            self._stalls,
         )
         self.store_sync = StoreSync(
             self.store,
@@ -213,6 +216,7 @@
             HttpServer(instance.metrics_address, self._respond_metrics, read_clock),
         ]
         for task in (
+            self._stalls.run,
             self.store_sync.run,
             self._announcer.run,
             self._rollout_controller.run,
