Forwarded changes: a watcher that was frozen doesn't forward an old reply

What callers would see: instances that were never disturbed decide by an older configuration, if the watcher of their zone was frozen between the store's reply and its message and is then stopped or turned away by the store, while the zone's other watcher is too.

Cause: a reply that waited in the watcher's socket was forwarded as news and kept the others from the store for 2.3 s from then on. Evidence: the new test fails before.

Change: a reply during whose call the process was stalled isn't forwarded; the next call returns at once and includes its changes.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -60,6 +60,7 @@
         self.in_force_s = in_force_s
         self._stalls = stalls
         self._validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
+        self._stalled_before_s = 0.0
         self._valid_from = None
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
         transport.handle(MessageKind.CHANGES, self._handle_changes)
@@ -81,10 +82,19 @@
             return 0.0
         return max(0.0, self._valid_from + self._validity_s - now)
 
+    def begin_read(self):
+        """Record that a call to the store begins whose reply may be forwarded."""
+        self._stalled_before_s = self._stalls.measure_total_s(self._read_clock())
+
     def forward(self, since, index, changes, since_recovery_s):
-        """Forward a reply of the store if this instance is a watcher."""
+        """Forward a reply of the store if this instance is a watcher.
+
+        A reply that was read after a stall may be old and is not forwarded, as it would
+        keep the others from the store. The next one includes its changes.
+        """
+        stalled_s = self._stalls.measure_total_s(self._read_clock())
         recipients = self._list_recipients()
-        if not recipients:
+        if not recipients or stalled_s > self._stalled_before_s:
             return
         rows = None if changes is None else _encode_changes(changes)
         for body_rows in (rows, None):
--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -98,6 +98,7 @@
 
     def _read_store(self):
         since = self._mirror.index
+        self._change_forwarder.begin_read()
         if self._has_full_copy:
             changes = self._store.read_changes(
                 ALL_KEYS_PREFIX, since, self._limit_watch_time()
--- a/tests/entry/test_stalls.py
+++ b/tests/entry/test_stalls.py
@@ -112,3 +112,27 @@
     receive(forwarder, transport)
     left_s = forwarder.get_remaining_validity_s(clock.now)
     assert left_s == pytest.approx(fresh_s - 2.0)
+
+
+def test_watcher_forwards_a_reply(clock, build_forwarder, transport):
+    forwarder = build_forwarder(WATCHER)
+    forwarder.begin_read()
+    clock.now += BEAT_INTERVAL_S
+    forwarder.forward(7, 7, None, None)
+    assert len(transport.sent) == 1
+
+
+def test_frozen_watcher_does_not_forward_an_old_reply(
+    clock, stalls, build_forwarder, transport
+):
+    forwarder = build_forwarder(WATCHER)
+    forwarder.begin_read()
+    clock.now += BEAT_INTERVAL_S + 2.0
+    # The reply may be read before or after the next beat.
+    forwarder.forward(7, 7, None, None)
+    stalls.record_beat(clock.now)
+    forwarder.forward(7, 7, None, None)
+    assert transport.sent == []
+    forwarder.begin_read()
+    forwarder.forward(7, 8, None, None)
+    assert len(transport.sent) == 1
