--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import logging
 import urllib.parse
 
 import msgspec
@@ -21,6 +22,9 @@
 from .._http import UpstreamConnection, call
 from .._store import Changes, Item, KeyValueStore, Listing
 
+logger = logging.getLogger("merlinnotch")
+
+ERA_FIELD = "store-era"
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -81,6 +85,7 @@
         self._read_clock = read_clock
         self._timeout_s = timeout_s
         self._on_call = on_call
+        self._era = None
         self._idle_connections = []
 
     def set_address(self, address):
@@ -222,8 +227,17 @@
             connection.close()
             raise
         self._release_connection(connection)
+        self._record_era(head)
         return head.status, reply
 
+    def _record_era(self, head):
+        """Log a change of the era, which rises when the store returns from a copy."""
+        era = head.fields.get(ERA_FIELD)
+        if era != self._era:
+            fields = {"era": era, "previous": self._era}
+            logger.info("store era changed", extra=fields)
+            self._era = era
+
     def _get_connection(self):
         now = self._read_clock()
         while self._idle_connections:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,8 +1,10 @@
 """Stand-in of the platform's store, with its protocol and failure modes."""
 
 import base64
+import copy
 import json
 import urllib.parse
+from dataclasses import dataclass
 
 import eventlet
 
@@ -12,11 +14,21 @@
 PAGE_SIZE = 500
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held when the copy was taken."""
+
+    items: dict
+    revision: int
+    leases: dict
+
+
 class StandInStore:
     """In-process store server on a free port of 127.0.0.1.
 
     *status* answers every call with that status. *is_unresponsive* leaves all calls
     unanswered. *dropped_replies* is the number of writes to apply without an answer.
+    *era* is in all answers and rises when the store comes back from a copy.
     """
 
     def __init__(self):
@@ -24,6 +36,7 @@
         self.history = []
         self.compacted_revision = 0
         self.revision = 0
+        self.era = 1
         self.leases = {}
         self.calls = []
         self.status = None
@@ -69,6 +82,18 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def take_copy(self):
+        """Return a :class:`StoreCopy` for :meth:`restore`."""
+        return StoreCopy(copy.deepcopy(self.items), self.revision, dict(self.leases))
+
+    def restore(self, store_copy):
+        """Come back from a copy: all that was written since is lost."""
+        self.items = copy.deepcopy(store_copy.items)
+        self.revision = self.compacted_revision = store_copy.revision
+        self.leases = dict(store_copy.leases)
+        self.history = []
+        self.era += 1
+
     def _respond(self, request):
         path, _, query_string = request.target.partition("?")
         query = dict(urllib.parse.parse_qsl(query_string, keep_blank_values=True))
@@ -76,14 +101,17 @@
         while self.is_unresponsive:
             eventlet.sleep(0.02)
         if self.status is not None:
-            return self.status, [], b""
+            return self.status, self._list_fields(), b""
         handler_name = path.strip("/").partition("/")[0].replace("-", "_")
         status, body = getattr(self, f"_{handler_name}")(path, query, request.body)
         if self.dropped_replies and request.method == "POST":
             self.dropped_replies -= 1
             while True:
                 eventlet.sleep(1)
-        return status, [("content-type", "application/json")], json.dumps(body).encode()
+        return status, self._list_fields(), json.dumps(body).encode()
+
+    def _list_fields(self):
+        return [("content-type", "application/json"), ("store-era", str(self.era))]
 
     def _kv_key(self, path, query, body):
         row = self.items.get(query["key"])
@@ -104,8 +132,9 @@
     def _kv_watch(self, path, query, body):
         after = int(query["after"])
         deadline = read_clock() + int(query["wait-ms"]) / 1000
+        era = self.era
         while True:
-            if after < self.compacted_revision:
+            if self.era != era or not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             events = [
                 row
--- /dev/null
+++ b/tests/entry/test_restored_store.py
@@ -0,0 +1,190 @@
+"""The store comes back from an older copy: what was written since then is lost."""
+
+import eventlet
+import pytest
+
+from tests.platform_world import (
+    PORTS,
+    Caller,
+    make_configuration,
+    wait_until,
+)
+
+NAMES = ("one", "two", "three", "four", "five")
+PLAIN_PATH = "/plain/"
+IN_TIME_S = 2.0
+
+
+def get_version(process):
+    return process.view.configuration.version
+
+
+def list_ids(process):
+    return {u.id for u in process.view.list_upstreams("app")}
+
+
+def restore_after_writes(world, count=5):
+    """Restore the store from a copy that lacks the last *count* writes."""
+    store_copy = world.store.take_copy()
+    for number in range(count):
+        world.store.put("op/other", {"number": number})
+    for instance in world.instances:
+        wait_until(lambda one=instance: one.mirror.index >= world.store.revision)
+    world.store.restore(store_copy)
+
+
+def test_configuration_that_is_written_after_a_restore_takes_effect(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    restore_after_writes(world)
+    world.configure(tenants=[{"name": "other", "api-keys": ["other"]}])
+    wait_until(lambda: get_version(one) == 2, IN_TIME_S)
+    assert Caller(one).send(PLAIN_PATH).status == 401
+
+
+def test_upstream_that_leaves_after_a_restore_gets_no_requests(world):
+    first = world.add_upstream("i-1")
+    world.add_upstream("i-2")
+    one = world.add_instance()
+    restore_after_writes(world)
+    world.list_upstream("i-1", "app", first.address, state="draining", seq=1)
+    wait_until(lambda: list_ids(one) == {"i-2"}, IN_TIME_S)
+
+
+def test_restored_store_is_read_once(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    restore_after_writes(world)
+    before = world.store.calls.count(("GET", "/kv-range"))
+    wait_until(lambda: one.store_sync.is_connected)
+    eventlet.sleep(0.5)
+    assert world.store.calls.count(("GET", "/kv-range")) - before <= 2
+
+
+def test_all_instances_of_a_zone_learn_of_a_restore(world):
+    world.add_upstream("i-1")
+    for name in NAMES:
+        world.add_instance(name)
+    for one in world.instances:
+        wait_until(lambda one=one: len(one.view.peers) == len(NAMES))
+    restore_after_writes(world)
+    world.configure()
+    for one in world.instances:
+        wait_until(lambda one=one: get_version(one) == 2, IN_TIME_S)
+
+
+def test_instance_without_store_access_learns_of_a_restore_from_peers(world):
+    world.add_upstream("i-1")
+    one, two = world.add_instance("one"), world.add_instance("two")
+    wait_until(lambda: len(one.view.peers) == len(two.view.peers) == 2)
+    restore_after_writes(world)
+    one.store.set_address(PORTS.pick("127.0.0.1"))
+    world.configure()
+    wait_until(lambda: get_version(two) == 2, IN_TIME_S)
+    wait_until(lambda: get_version(one) == 2, IN_TIME_S)
+
+
+def test_two_restores_in_a_row(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    restore_after_writes(world)
+    restore_after_writes(world, count=2)
+    world.configure()
+    wait_until(lambda: get_version(one) == 2, IN_TIME_S)
+
+
+def test_configuration_of_the_copy_does_not_replace_a_newer_one(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    world.configure(tenants=[{"name": "other", "api-keys": ["other"]}])
+    wait_until(lambda: get_version(one) == 2)
+    world.store.restore(store_copy)
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+    assert get_version(one) == 2
+    assert Caller(one).send(PLAIN_PATH).status == 401
+    world.store.put("op/config", make_configuration(3))
+    wait_until(lambda: get_version(one) == 3, IN_TIME_S)
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_entry_of_the_copy_does_not_bring_a_leaving_upstream_back(world, state):
+    first = world.add_upstream("i-1")
+    world.add_upstream("i-2")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    if state == "draining":
+        world.list_upstream("i-1", "app", first.address, state="draining", seq=1)
+    else:
+        world.store.delete("servers/i-1")
+    wait_until(lambda: list_ids(one) == {"i-2"})
+    world.store.restore(store_copy)
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+    assert list_ids(one) == {"i-2"}
+
+
+def test_upstream_that_writes_its_entry_after_the_restore_is_used_again(world):
+    first = world.add_upstream("i-1")
+    world.add_upstream("i-2")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    world.store.delete("servers/i-1")
+    wait_until(lambda: list_ids(one) == {"i-2"})
+    world.store.restore(store_copy)
+    world.list_upstream("i-1", "app", first.address, seq=1)
+    wait_until(lambda: list_ids(one) == {"i-1", "i-2"}, IN_TIME_S)
+
+
+def test_upstream_whose_entry_is_lost_is_kept_until_it_writes_it_again(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    second = world.add_upstream("i-2")
+    wait_until(lambda: list_ids(one) == {"i-1", "i-2"})
+    world.store.restore(store_copy)
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+    assert list_ids(one) == {"i-1", "i-2"}
+    world.list_upstream("i-2", "app", second.address, seq=1)
+    eventlet.sleep(2.5)
+    assert list_ids(one) == {"i-1", "i-2"}
+
+
+def test_address_of_an_instance_is_written_again(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    wait_until(lambda: one.view.list_present_peers())
+    world.store.restore(store_copy)
+    wait_until(lambda: world.store.read("merlinnotch/peers/one"), IN_TIME_S)
+    wait_until(lambda: one.view.list_present_peers(), IN_TIME_S)
+
+
+def test_block_is_written_again(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    fingerprint = b"\x01" * 12
+    key = f"merlinnotch/blocked/{fingerprint.hex()}"
+    world.store.put(key, b"")
+    wait_until(lambda: fingerprint in one.view.blocked)
+    world.store.restore(store_copy)
+    wait_until(lambda: world.store.read(key) is not None, IN_TIME_S + 2.0)
+    assert fingerprint in one.view.blocked
+
+
+def test_evacuation_that_is_lost_applies_until_it_is_written_again(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
+    wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
+    world.store.restore(store_copy)
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+    assert one.view.is_zone_evacuated("zone-a")
+    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
+    eventlet.sleep(2.5)
+    assert one.view.is_zone_evacuated("zone-a")
