Test of a stop: let the started process have retries

Failed since: a process is granted no retries in its first half window and no share of the slack in its first window, so a stream that is broken two seconds after the start isn't resumed. The test is about the end of the grace period; its process now has a retry window of a second and waits for it. What it checks is unchanged.

--- a/tests/entry/test_stop_with_streams.py
+++ b/tests/entry/test_stop_with_streams.py
@@ -41,6 +41,7 @@
 BROKEN = 0
 GRACE_S = 30.0
 TIMEOUT_MS = 60000
+RETRY_WINDOW_S = 1.0
 """Longer than the grace period, so that new streams are refused near its end."""
 SILENCE_S = 3.0
 """Longer than the limits on the wait for a response head and for the next event."""
@@ -710,7 +711,9 @@
         changes = {"timeout-ms": TIMEOUT_MS, "gap-goal-ms": 2000}
         routes = [r | changes for r in make_routes() if r["path-prefix"] == STREAM_PATH]
         world.configure(routes=routes)
-        self._settings = make_settings(world.store.address, "one", 0.2, 3.2)
+        settings = make_settings(world.store.address, "one", 0.2, 3.2)
+        retries = msgspec.structs.replace(settings.retries, window_s=RETRY_WINDOW_S)
+        self._settings = msgspec.structs.replace(settings, retries=retries)
         path = folder / "settings.toml"
         path.write_text(encode_settings(self._settings))
         self._log_path = folder / "log"
@@ -719,6 +722,8 @@
         self.process = StackProcess("entry", arguments, self._log_path)
         self.process.start()
         wait_until(self._is_ready, wait_s=10.0)
+        # A started process has no share of the retry slack in its first window.
+        eventlet.sleep(RETRY_WINDOW_S)
 
     def _respond(self, request, write):
         name = request.target.removeprefix(STREAM_PATH)
