Store indexes rise when the store is restored from a copy

Cause: a restored store gives out earlier revisions again. The mirror ignored whatever had a lower index than its own: each full read was dropped, the next watch got 410 again, 305 to 341 full reads in each instance, until the revisions had passed the old index; what was written below it was never seen. Peers, forwarded changes and conditional writes ordered by revision too. Class: a counter that is taken for time where its source can go back.

Change: an index holds the era of the store (Store-Era) above the revision, so that everything that orders by index orders by both. Replies of an earlier era are rejected, a listing whose pages are of two eras is read anew, watches under way end when any answer has a later era, conditional writes whose base is of an earlier era fail, and so do leases, whose numbers may be given out again. A rollout order is still identified by its revision, which the copy keeps. Peers of the release before, which know no eras, get revisions at /state?after= and no forwarded changes; theirs are ignored.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -63,7 +63,9 @@
         self._stalled_before_s = 0.0
         self._valid_from = None
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
-        transport.handle(MessageKind.CHANGES, self._handle_changes)
+        transport.handle(MessageKind.STORE_CHANGES, self._handle_changes)
+        # Sent by earlier releases, whose indexes have no era.
+        transport.handle(MessageKind.CHANGES, lambda body: None)
 
     def is_watcher(self):
         """Return whether this instance watches the store for its zone."""
@@ -99,7 +101,7 @@
         rows = None if changes is None else _encode_changes(changes)
         for body_rows in (rows, None):
             body = [self._address, since, index, body_rows, since_recovery_s]
-            if self._transport.send(MessageKind.CHANGES, body, recipients):
+            if self._transport.send(MessageKind.STORE_CHANGES, body, recipients):
                 return
 
     def wait(self, wait_s):
--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -36,6 +36,7 @@
     SLOT_RELEASE = 19
     BRITTLE = 20
     PART_LOSSES = 21
+    STORE_CHANGES = 22
 
 
 class DatagramTransport:
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -1,5 +1,6 @@
 """HTTP calls between instances that transfer state of the store."""
 
+import dataclasses
 import logging
 import random
 
@@ -9,7 +10,7 @@
 from .._errors import ConnectFailed, ConnectionBroken, MalformedMessage
 from .._fleet.mirror import MirrorUpdate
 from .._http import UpstreamConnection
-from .._store import Item
+from .._store import Item, get_revision
 
 logger = logging.getLogger("merlinnotch")
 
@@ -55,7 +56,7 @@
         return None if peer is None else self._fetch(peer, index)
 
     def _fetch(self, peer, index):
-        data = self._call(peer, "GET", f"{STATE_PATH}?after={index}")
+        data = self._call(peer, "GET", f"{STATE_PATH}?since={index}")
         if data is None:
             return None
         try:
@@ -104,9 +105,20 @@
         path, _, query = request.target.partition("?")
         if path != STATE_PATH:
             return NOT_FOUND, [], b""
-        after = query.partition("after=")[2]
-        update = self._mirror.export(int(after) if after.isdigit() else 0)
-        return OK, [], encode_mirror_update(update)
+        name, _, since = query.partition("=")
+        if name == "since" and since.isdigit():
+            return OK, [], encode_mirror_update(self._mirror.export(int(since)))
+        # Earlier releases know no eras.
+        return OK, [], encode_mirror_update(_remove_eras(self._mirror.export(0)))
+
+
+def _remove_eras(update):
+    """Return a :class:`MirrorUpdate` with revisions in place of indexes."""
+    items = [
+        dataclasses.replace(item, modify_index=get_revision(item.modify_index))
+        for item in update.items
+    ]
+    return MirrorUpdate(get_revision(update.index), tuple(items), update.keys)
 
 
 def encode_mirror_update(update):
--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -163,7 +163,7 @@
     def _advance(self, service, rollout, age_s, now):
         if not self._list_target_upstreams(service, rollout):
             return
-        if rollout.status is None or rollout.status.index < rollout.order.index:
+        if rollout.status is None or rollout.status.index < rollout.order.modify_index:
             self._write_state(service, rollout, RolloutState.ACTIVE)
         stage = rollout.current_stage
         if stage is None:
--- a/src/merlinnotch/_fleet/mirror.py
+++ b/src/merlinnotch/_fleet/mirror.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .._store import Item
+from .._store import Item, get_era
 
 
 @dataclass(frozen=True)
@@ -29,13 +29,19 @@
     """A local copy of the store's items.
 
     It is updated by replies of the store and by peers, in any order. Updates
-    older than *index* are ignored, whatever their source.
+    older than *index* are ignored, whatever their source. A later era is newer,
+    although the store has then lost writes.
     """
 
     def __init__(self):
         self.index = 0
         self.items = {}
 
+    @property
+    def era(self):
+        """The era of the store that the copy is of."""
+        return get_era(self.index)
+
     def replace(self, listing):
         """Apply a full read of the store; return a list of :class:`KeyChange`."""
         if listing.index < self.index:
--- a/src/merlinnotch/_fleet/rollout.py
+++ b/src/merlinnotch/_fleet/rollout.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass
 
+from .._store import build_index
+
 
 class RolloutState(enum.StrEnum):
     """The state of a rollout, as reported to operators."""
@@ -16,13 +18,20 @@
 class RolloutOrder:
     """An order to move *service* to version *target* within *period_s* seconds.
 
-    *index* is the modify index of the order in the store and identifies it.
+    *index* identifies the order. It is the order's revision in the store, without the
+    *era*: a restored store keeps the revisions of what its copy holds.
     """
 
     service: str
     target: str
     period_s: float
     index: int
+    era: int = 0
+
+    @property
+    def modify_index(self):
+        """The store's index of the order, which is comparable to that of a status."""
+        return build_index(self.era, self.index)
 
 
 @dataclass(frozen=True)
--- a/src/merlinnotch/_fleet/service_rollout.py
+++ b/src/merlinnotch/_fleet/service_rollout.py
@@ -27,7 +27,7 @@
         if self.order is None:
             return None
         status = self.status
-        if status is None or status.index < self.order.index:
+        if status is None or status.index < self.order.modify_index:
             return RolloutState.ACTIVE
         if status.target != self.order.target:
             return RolloutState.ACTIVE
--- a/src/merlinnotch/_store/__init__.py
+++ b/src/merlinnotch/_store/__init__.py
@@ -6,6 +6,7 @@
 import importlib
 
 from .base import ABSENT, KeyValueStore
+from .indexes import build_index, get_era, get_revision
 from .item import Changes, Item, Listing
 
 _MODULES = {"HttpStore": "http", "MemoryStore": "memory"}
@@ -18,6 +19,9 @@
     "KeyValueStore",
     "Listing",
     "MemoryStore",
+    "build_index",
+    "get_era",
+    "get_revision",
 ]
 
 
--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -25,6 +25,7 @@
     Team,
     Upstream,
 )
+from .._store import get_era, get_revision
 from . import keys
 
 MS_PER_S = 1000.0
@@ -145,7 +146,13 @@
         return _build_upstream(key, _decode(value, _UpstreamDocument, key, True))
     if key.startswith(keys.ROLLOUT_PREFIX):
         order = _decode(value, _OrderDocument, key)
-        return RolloutOrder(order.service, order.target, order.period_s, index)
+        return RolloutOrder(
+            order.service,
+            order.target,
+            order.period_s,
+            get_revision(index),
+            get_era(index),
+        )
     if key.startswith(keys.EVACUATION_PREFIX):
         return _build_evacuation(key, value)
     if key.startswith(keys.STATUS_PREFIX):
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -3,11 +3,13 @@
 In its messages ``at`` is the store's index at the time of a reply, ``revision`` is
 the modify index of an item, and a ``lease-id`` of 0 means no lease. ``after`` is the
 last key of the previous page in a listing, and the last index seen in a watch.
+``Store-Era`` is part of the indexes that this client returns.
 """
 
 import base64
 import logging
 import urllib.parse
+from dataclasses import dataclass
 
 import msgspec
 
@@ -20,7 +22,15 @@
     StoreUnavailable,
 )
 from .._http import UpstreamConnection, call
-from .._store import Changes, Item, KeyValueStore, Listing
+from .._store import (
+    Changes,
+    Item,
+    KeyValueStore,
+    Listing,
+    build_index,
+    get_era,
+    get_revision,
+)
 
 logger = logging.getLogger("merlinnotch")
 
@@ -71,6 +81,14 @@
     ttl_ms: int = 0
 
 
+@dataclass(frozen=True)
+class PlatformLease:
+    """The *number* of a lease, which may be given out again in a later *era*."""
+
+    number: int
+    era: int
+
+
 class PlatformStore(KeyValueStore):
     """A client with a pool of connections.
 
@@ -78,6 +96,10 @@
     depends on their wait. *read_clock* returns monotonic seconds. *on_call* is called
     with the kind of each call, for metrics. A connection is closed after a failure,
     because the store sends nothing more on a connection whose reply was lost.
+
+    The store's era rises each time it is restored from a copy, and with it all indexes.
+    Replies of an earlier era are rejected. *on_restored* is called when the era
+    rises; calls under way are then ended.
     """
 
     def __init__(self, address, read_clock, timeout_s, on_call=lambda kind: None):
@@ -85,8 +107,15 @@
         self._read_clock = read_clock
         self._timeout_s = timeout_s
         self._on_call = on_call
+        self.on_restored = lambda: None
         self._era = None
         self._idle_connections = []
+        self._busy_connections = set()
+
+    @property
+    def era(self):
+        """The highest era of the replies so far, 0 before the first."""
+        return self._era or 0
 
     def set_address(self, address):
         """Use another address for all further calls."""
@@ -99,18 +128,22 @@
             return self._read_key(prefix)
         items = []
         after = None
-        index = None
+        revision = None
+        era = None
         while True:
             query = {"path-prefix": prefix}
             if after is not None:
                 query["after"] = after
             reply = self._get("read", "/kv-range", query, _PageReply)
-            # Items may change between two pages. A watch from the index of the
+            if era not in (None, self.era):
+                raise ChangesExpired("the store was restored between two pages")
+            era = self.era
+            # Items may change between two pages. A watch from the revision of the
             # first page reports those changes.
-            index = reply.at if index is None else index
-            items.extend(_build_item(row) for row in reply.items)
+            revision = reply.at if revision is None else revision
+            items.extend(self._build_item(row) for row in reply.items)
             if not reply.has_more or not reply.items:
-                return Listing(tuple(items), index)
+                return Listing(tuple(items), build_index(era, revision))
             after = reply.items[-1].key
 
     def watch(self, prefix, index, wait_s, recurse=False):
@@ -118,17 +151,19 @@
         return self.read(prefix, recurse)
 
     def read_changes(self, prefix, index, wait_s):
+        self._check_watch_era(index)
         query = {
             "path-prefix": prefix,
-            "after": index,
+            "after": get_revision(index),
             "wait-ms": int(wait_s * 1000),
         }
         wait_s += WATCH_GRACE_S
         reply = self._get("watch", "/kv-watch", query, _ChangesReply, wait_s)
+        self._check_watch_era(index)
         latest = {row.key: row for row in reply.events}
-        written = tuple(_build_item(r) for r in latest.values() if not r.deleted)
+        written = tuple(self._build_item(r) for r in latest.values() if not r.deleted)
         deleted = tuple(row.key for row in latest.values() if row.deleted)
-        return Changes(written, deleted, reply.at)
+        return Changes(written, deleted, build_index(self.era, reply.at))
 
     def swap(self, key, value, modify_index):
         return self._write(key, value, NO_LEASE, modify_index)
@@ -137,29 +172,32 @@
         return self._write(key, value, NO_LEASE, None)
 
     def delete(self, key, modify_index):
-        expected = [{"key": key, "revision": modify_index}]
-        self._commit({"expected": expected, "puts": [], "remove": [key]}, key)
+        body = {"expected": [], "puts": [], "remove": [key]}
+        self._commit(body, key, modify_index)
 
     def open_lease(self, ttl_s, name):
         body = {"ttl-ms": int(ttl_s * 1000)}
         status, data = self._call("lease", "POST", "/kv-lease", body)
         _check_status(status, (OK,))
-        return _decode(data, _LeaseReply).lease_id
+        return PlatformLease(_decode(data, _LeaseReply).lease_id, self.era)
 
     def renew_lease(self, lease):
-        status, _ = self._call("renewal", "POST", f"/kv-keep/{lease}")
+        self._check_lease_era(lease)
+        status, _ = self._call("renewal", "POST", f"/kv-keep/{lease.number}")
         if status == NOT_FOUND:
-            raise StoreConflict(f"lease {lease} has ended")
+            raise StoreConflict(f"lease {lease.number} has ended")
         _check_status(status, (OK,))
+        self._check_lease_era(lease)
 
     def close_lease(self, lease):
-        status, _ = self._call("lease", "DELETE", f"/kv-lease-end/{lease}")
+        self._check_lease_era(lease)
+        status, _ = self._call("lease", "DELETE", f"/kv-lease-end/{lease.number}")
         _check_status(status, (OK, NOT_FOUND))
 
     def acquire(self, key, value, lease):
         listing = self._read_key(key)
         item = listing.get(key)
-        if item is not None and item.lease not in (None, lease):
+        if item is not None and item.lease not in (None, lease.number):
             return False
         try:
             self._write(key, value, lease, item.modify_index if item else 0)
@@ -177,26 +215,53 @@
         if status == NOT_FOUND:
             return Listing((), 0)
         _check_status(status, (OK,))
-        item = _build_item(_decode(data, _ItemRow))
+        item = self._build_item(_decode(data, _ItemRow))
         return Listing((item,), item.modify_index)
 
     def _write(self, key, value, lease, modify_index):
+        if lease != NO_LEASE:
+            self._check_lease_era(lease)
         put = {
             "key": key,
             "value": base64.b64encode(value).decode(),
-            "lease-id": lease,
+            "lease-id": lease if lease == NO_LEASE else lease.number,
         }
-        expected = []
-        if modify_index is not None:
-            expected.append({"key": key, "revision": modify_index})
-        return self._commit({"expected": expected, "puts": [put], "remove": []}, key)
+        body = {"expected": [], "puts": [put], "remove": []}
+        return self._commit(body, key, modify_index)
 
-    def _commit(self, body, key):
+    def _commit(self, body, key, modify_index):
+        """Write *body* if *key* is unchanged since *modify_index*, None for any."""
+        era = self._era
+        if modify_index is not None:
+            if modify_index and get_era(modify_index) != self.era:
+                raise StoreConflict(f"{key}: the store was restored")
+            row = {"key": key, "revision": get_revision(modify_index)}
+            body["expected"].append(row)
         status, data = self._call("write", "POST", "/kv-txn", body)
         if status in (PRECONDITION_FAILED, NOT_FOUND):
             raise StoreConflict(key)
         _check_status(status, (OK,))
-        return _decode(data, _TransactionReply).revision
+        if era not in (None, self._era):
+            # The base may have been another write with the same revision.
+            raise StoreConflict(f"{key}: the store was restored")
+        return build_index(self.era, _decode(data, _TransactionReply).revision)
+
+    def _check_watch_era(self, index):
+        """Raise :class:`ChangesExpired` if the era of *index* has ended."""
+        if index and get_era(index) != self.era:
+            raise ChangesExpired("the store was restored")
+
+    def _check_lease_era(self, lease):
+        if lease.era != self.era:
+            raise StoreConflict(f"lease {lease.number} is of an earlier era")
+
+    def _build_item(self, row):
+        try:
+            value = base64.b64decode(row.value)
+        except ValueError as error:
+            raise StoreUnavailable(f"malformed value in reply: {error}") from error
+        index = build_index(self.era, row.revision)
+        return Item(row.key, value, index, row.lease_id or None)
 
     def _get(self, kind, path, query, reply_type, timeout_s=None):
         status, data = self._call(kind, "GET", path, None, query, timeout_s)
@@ -216,6 +281,7 @@
             connection = self._get_connection()
         except ConnectFailed as error:
             raise StoreUnavailable(str(error)) from error
+        self._busy_connections.add(connection)
         try:
             head, reply = call(
                 connection, method, path, pairs, data, deadline, MAX_REPLY_BYTES
@@ -226,17 +292,37 @@
         except BaseException:
             connection.close()
             raise
+        finally:
+            self._busy_connections.discard(connection)
         self._release_connection(connection)
-        self._record_era(head)
+        self._record_era(head.fields.get(ERA_FIELD))
         return head.status, reply
 
-    def _record_era(self, head):
-        """Log a change of the era, which rises when the store returns from a copy."""
-        era = head.fields.get(ERA_FIELD)
-        if era != self._era:
-            fields = {"era": era, "previous": self._era}
-            logger.info("store era changed", extra=fields)
-            self._era = era
+    def _record_era(self, text):
+        """Record the era of a reply; raises :class:`StoreUnavailable` for an old one.
+
+        A reply without a valid era belongs to the current one.
+        """
+        if text is None or not text.isdigit():
+            return
+        era = int(text)
+        if era < self.era:
+            raise StoreUnavailable(f"reply of era {era}, the current one is {self.era}")
+        if era == self._era:
+            return
+        is_restored = self._era is not None
+        logger.info("store era changed", extra={"era": era, "previous": self._era})
+        self._era = era
+        if is_restored:
+            self._end_calls()
+            self.on_restored()
+
+    def _end_calls(self):
+        """End the calls under way, which belong to the era before."""
+        for connection in list(self._busy_connections):
+            connection.abort()
+        while self._idle_connections:
+            self._idle_connections.pop().close()
 
     def _get_connection(self):
         now = self._read_clock()
@@ -266,11 +352,3 @@
         return msgspec.json.decode(data, type=reply_type)
     except msgspec.MsgspecError as error:
         raise StoreUnavailable(f"malformed reply: {error}") from error
-
-
-def _build_item(row):
-    try:
-        value = base64.b64decode(row.value)
-    except ValueError as error:
-        raise StoreUnavailable(f"malformed value in reply: {error}") from error
-    return Item(row.key, value, row.revision, row.lease_id or None)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -28,7 +28,9 @@
 
     *status* answers every call with that status. *is_unresponsive* leaves all calls
     unanswered. *dropped_replies* is the number of writes to apply without an answer.
-    *era* is in all answers and rises when the store comes back from a copy.
+    *era* is in all answers and rises when the store comes back from a copy. Watches
+    that wait at that time are ended, unless *holds_watches*. *before_call* is called
+    with the path and the query of each call.
     """
 
     def __init__(self):
@@ -42,6 +44,8 @@
         self.status = None
         self.is_unresponsive = False
         self.dropped_replies = 0
+        self.holds_watches = False
+        self.before_call = lambda path, query: None
         self._server = HttpServer("127.0.0.1:0", self._respond, read_clock)
         self.address = self._server.address
 
@@ -98,6 +102,7 @@
         path, _, query_string = request.target.partition("?")
         query = dict(urllib.parse.parse_qsl(query_string, keep_blank_values=True))
         self.calls.append((request.method, path))
+        self.before_call(path, query)
         while self.is_unresponsive:
             eventlet.sleep(0.02)
         if self.status is not None:
@@ -134,6 +139,8 @@
         deadline = read_clock() + int(query["wait-ms"]) / 1000
         era = self.era
         while True:
+            while self.holds_watches:
+                eventlet.sleep(0.01)
             if self.era != era or not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             events = [
--- a/tests/entry/test_change_forwarder.py
+++ b/tests/entry/test_change_forwarder.py
@@ -4,6 +4,7 @@
 import pytest
 
 from merlinnotch._entry.datagrams import MessageKind
+from merlinnotch._store import get_revision
 from tests.platform_world import PORTS, make_configuration, wait_until
 
 NAMES = ("one", "two", "three", "four", "five")
@@ -118,7 +119,7 @@
     body = [PORTS.pick("127.0.0.1"), index + 1, index + 2, None, None]
     recipients = [one.settings.instance.peer_address]
     before = count_watches(one)
-    other.datagrams.send(MessageKind.CHANGES, body, recipients)
+    other.datagrams.send(MessageKind.STORE_CHANGES, body, recipients)
     wait_until(lambda: count_watches(one) >= before + 3)
 
 
@@ -139,7 +140,7 @@
     eventlet.sleep(1.2)
     world.store.delete("servers/i-1")
     world.store.is_unresponsive = False
-    wait_until(lambda: one.mirror.index == world.store.revision)
+    wait_until(lambda: get_revision(one.mirror.index) == world.store.revision)
     assert len(one.view.list_upstreams("app")) == 1
 
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -1,15 +1,22 @@
 """Transfer of state between instances over slow links."""
 
+import types
+
 import eventlet
 import pytest
 from eventlet.green import socket
 
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._entry.metrics import EntryMetrics
-from merlinnotch._entry.peers import PeerClient, encode_mirror_update
+from merlinnotch._entry.peers import (
+    PeerClient,
+    StateEndpoint,
+    decode_mirror_update,
+    encode_mirror_update,
+)
 from merlinnotch._fleet import PeerAddress
-from merlinnotch._fleet.mirror import MirrorUpdate
-from merlinnotch._store import Item
+from merlinnotch._fleet.mirror import Mirror, MirrorUpdate
+from merlinnotch._store import Item, Listing, build_index
 
 STATE = encode_mirror_update(
     MirrorUpdate(7, (Item("op/config", b"x" * 40_000, 7),), ("k",))
@@ -70,3 +77,15 @@
 
 def test_peer_that_stalls_within_the_body_is_given_up(fetch):
     assert fetch(12, 0.01, 6) is None
+
+
+@pytest.mark.parametrize("query, era", [("since=0", 3), ("after=0", 0)])
+def test_peers_of_earlier_releases_get_revisions_without_era(query, era):
+    mirror = Mirror()
+    index = build_index(3, 7)
+    mirror.replace(Listing((Item("k", b"v", index),), index))
+    request = types.SimpleNamespace(target=f"/state?{query}")
+    status, _, body = StateEndpoint(mirror).respond(request)
+    update = decode_mirror_update(body)
+    assert (status, update.index) == (200, build_index(era, 7))
+    assert [item.modify_index for item in update.items] == [update.index]
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from merlinnotch._store import get_revision
 from tests.platform_world import (
     PORTS,
     Caller,
@@ -28,8 +29,10 @@
     store_copy = world.store.take_copy()
     for number in range(count):
         world.store.put("op/other", {"number": number})
-    for instance in world.instances:
-        wait_until(lambda one=instance: one.mirror.index >= world.store.revision)
+    for one in world.instances:
+        wait_until(
+            lambda one=one: get_revision(one.mirror.index) == world.store.revision
+        )
     world.store.restore(store_copy)
 
 
--- a/tests/entry/test_stalls.py
+++ b/tests/entry/test_stalls.py
@@ -5,6 +5,7 @@
 import pytest
 
 from merlinnotch._entry.change_forwarder import ChangeForwarder
+from merlinnotch._entry.datagrams import MessageKind
 from merlinnotch._entry.stalls import BEAT_INTERVAL_S, MIN_STALL_S, StallMonitor
 from merlinnotch._fleet import PeerAddress
 from merlinnotch._rendezvous_hashing import rank_names
@@ -28,14 +29,14 @@
 
 
 class Transport:
-    """Holds the handler of messages and the messages that are sent."""
+    """Holds the handlers of messages and the messages that are sent."""
 
     def __init__(self):
-        self.handler = None
+        self.handlers = {}
         self.sent = []
 
     def handle(self, kind, handler):
-        self.handler = handler
+        self.handlers[kind] = handler
 
     def send(self, kind, body, addresses):
         self.sent.append(body)
@@ -74,7 +75,7 @@
 
 
 def receive(forwarder, transport):
-    transport.handler(["10.0.0.1:1", 7, 7, None, None])
+    transport.handlers[MessageKind.STORE_CHANGES](["10.0.0.1:1", 7, 7, None, None])
     forwarder.record_applied(forwarder.wait(0))
 
 
--- a/tests/fleet/test_mirror.py
+++ b/tests/fleet/test_mirror.py
@@ -3,7 +3,7 @@
 import pytest
 
 from merlinnotch._fleet.mirror import Mirror, MirrorUpdate
-from merlinnotch._store import Changes, Item, Listing
+from merlinnotch._store import Changes, Item, Listing, build_index
 
 
 def make_item(key, index, value=b"v"):
@@ -50,3 +50,17 @@
 def test_item_is_not_replaced_by_older_one(mirror):
     mirror.apply(Changes((make_item("b", 4, b"old"),), (), 8))
     assert mirror.items["b"].modify_index == 5
+
+
+def test_full_read_of_a_restored_store_replaces_later_revisions(mirror):
+    items = (make_item("a", build_index(1, 3)), make_item("c", build_index(1, 4)))
+    key_changes = mirror.replace(Listing(items, build_index(1, 4)))
+    assert {d.key for d in key_changes} == {"a", "b", "c"}
+    assert set(mirror.items) == {"a", "c"}
+    assert mirror.era == 1
+
+
+def test_update_from_a_peer_that_missed_a_restore_is_ignored(mirror):
+    mirror.replace(Listing((), build_index(1, 2)))
+    assert mirror.merge(MirrorUpdate(9, (make_item("a", 9),), ("a",))) == []
+    assert mirror.items == {}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,10 +1,13 @@
 """The client of the platform's store."""
 
+from dataclasses import replace
+
 import eventlet
 import pytest
 
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._errors import ChangesExpired, StoreConflict, StoreUnavailable
+from merlinnotch._store import get_revision
 from merlinnotch.platform import PlatformStore
 from standins.platform_store import StandInStore
 
@@ -34,7 +37,7 @@
         server.put(f"p/{number:04}", b"v")
     listing = store.read("p/", recurse=True)
     assert len(listing.items) == 1100
-    assert listing.index == server.revision
+    assert get_revision(listing.index) == server.revision
 
 
 def test_read_of_missing_key_returns_no_items(store):
@@ -100,10 +103,85 @@
     lease = store.open_lease(5.0, "me")
     store.put_with_lease("a", b"1", lease)
     store.renew_lease(lease)
-    assert not store.acquire("a", b"2", lease + 1)
+    other_lease = replace(lease, number=lease.number + 1)
+    assert not store.acquire("a", b"2", other_lease)
     store.close_lease(lease)
     assert server.read("a") is None
     with pytest.raises(StoreConflict):
         store.renew_lease(lease)
     with pytest.raises(StoreConflict):
         store.put_with_lease("a", b"1", lease)
+
+
+def test_index_rises_when_the_store_is_restored(store, server):
+    store_copy = server.take_copy()
+    server.put("a", b"1")
+    before = store.read("", recurse=True)
+    server.restore(store_copy)
+    after = store.read("", recurse=True)
+    assert after.items == ()
+    assert after.index > before.index
+
+
+def test_watch_from_an_earlier_era_fails(store, server):
+    index = store.read("", recurse=True).index
+    server.restore(server.take_copy())
+    with pytest.raises(ChangesExpired):
+        store.read_changes("", index, 0.1)
+    # The revisions have passed the index.
+    server.put("a", b"1")
+    with pytest.raises(ChangesExpired):
+        store.read_changes("", index, 0.1)
+
+
+def test_watch_ends_when_another_call_sees_a_new_era(store, server):
+    index = store.read("", recurse=True).index
+    server.holds_watches = True
+    watch = eventlet.spawn(store.read_changes, "", index, 10.0)
+    eventlet.sleep(0.1)
+    server.restore(server.take_copy())
+    store.read("a")
+    with pytest.raises((StoreUnavailable, ChangesExpired)), eventlet.Timeout(1.0):
+        watch.wait()
+
+
+def test_reply_of_an_earlier_era_is_rejected(store, server):
+    server.restore(server.take_copy())
+    store.read("a")
+    server.era -= 1
+    with pytest.raises(StoreUnavailable):
+        store.read("a")
+
+
+def test_pages_of_two_eras_are_rejected(store, server):
+    for number in range(1100):
+        server.put(f"p/{number:04}", b"v")
+
+    def restore_before_second_page(path, query):
+        if "after" in query:
+            server.restore(server.take_copy())
+
+    server.before_call = restore_before_second_page
+    with pytest.raises(ChangesExpired):
+        store.read("p/", recurse=True)
+
+
+def test_swap_with_a_base_of_an_earlier_era_fails(store, server):
+    modify_index = store.swap("a", b"1", 0)
+    store_copy = server.take_copy()
+    server.restore(store_copy)
+    with pytest.raises(StoreConflict):
+        store.swap("a", b"2", modify_index)
+    with pytest.raises(StoreConflict):
+        store.swap("a", b"2", modify_index)
+    assert server.read("a") == b"2"
+
+
+def test_lease_of_an_earlier_era_is_neither_renewed_nor_closed(store, server):
+    lease = store.open_lease(5.0, "me")
+    server.restore(server.take_copy())
+    with pytest.raises(StoreConflict):
+        store.renew_lease(lease)
+    with pytest.raises(StoreConflict):
+        store.close_lease(lease)
+    assert lease.number in server.leases
