Restored store: entries of the copy don't replace what upstreams wrote later

What callers would see: requests at an upstream that is leaving or has left, as the copy holds its ready entry from before, and none at an upstream that registered in the lost seconds.

Cause: the state of a copy was applied as if it were the newest.

Change: the first state of a later era is applied as a copy. Entries that are missing are kept like those that expired in an outage.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -104,7 +104,7 @@
                 ALL_KEYS_PREFIX, since, self._limit_watch_time()
             )
             self._record_reply()
-            self._apply(self._mirror.apply(changes))
+            self._apply(self._mirror.apply, changes)
             self._change_forwarder.forward(
                 since, changes.index, changes, self._measure_recovery_age()
             )
@@ -114,7 +114,7 @@
             listing = self._store.read(ALL_KEYS_PREFIX, recurse=True)
             self._record_reply()
             self._has_full_copy = True
-            self._apply(self._mirror.replace(listing))
+            self._apply(self._mirror.replace, listing)
             self._change_forwarder.forward(
                 since, listing.index, None, self._measure_recovery_age()
             )
@@ -129,23 +129,29 @@
         """Apply forwarded changes; return False if some of them are missing."""
         if forwarded.index > self._mirror.index:
             if forwarded.changes is not None and forwarded.since <= self._mirror.index:
-                key_changes = self._mirror.apply(forwarded.changes)
+                apply, update = self._mirror.apply, forwarded.changes
             else:
                 update = self._peers.fetch_from(forwarded.sender, self._mirror.index)
                 if update is None or update.index < forwarded.index:
                     return False
-                key_changes = self._mirror.merge(update)
-            self._apply(key_changes, forwarded.since_recovery_s)
+                apply = self._mirror.merge
+            self._apply(apply, update, forwarded.since_recovery_s)
         self._record_reply()
         return True
 
-    def _apply(self, key_changes, forwarded_age_s=None):
-        """Apply *key_changes* to the view.
+    def _apply(self, apply, update, forwarded_age_s=None):
+        """Apply *update* to the mirror by its method *apply*, and to the view.
 
         *forwarded_age_s* is the time since the store's recovery that a watcher
         reported.
         """
+        had_items = bool(self._mirror.items)
+        previous_era = self._mirror.era
+        key_changes = apply(update)
         now = self._read_clock()
+        if had_items and self._mirror.era != previous_era:
+            self._view.apply_copy(key_changes, now)
+            return
         ages_s = [
             s for s in (forwarded_age_s, self._measure_recovery_age()) if s is not None
         ]
@@ -184,4 +190,4 @@
     def _fetch_from_peers(self):
         update = self._peers.fetch_newer(self._mirror.index)
         if update is not None:
-            self._view.apply(self._mirror.merge(update), self._read_clock())
+            self._apply(self._mirror.merge, update)
--- a/src/merlinnotch/_fleet/upstream.py
+++ b/src/merlinnotch/_fleet/upstream.py
@@ -1,7 +1,7 @@
 """Upstreams as the platform lists them."""
 
 import functools
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -24,6 +24,7 @@
     *address* is host:port and may be reused by another service later. *version*
     is the software version. *cold_s* is how many more seconds the upstream was
     cold when the entry was written. *started_ms* is as in :class:`UpstreamStart`.
+    *sequence* rises with each entry that a start writes.
     """
 
     id: str
@@ -35,6 +36,7 @@
     draining: bool = False
     cold_s: float = 0.0
     started_ms: int = 0
+    sequence: int = field(default=0, compare=False)
 
     @functools.cached_property
     def start(self):
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -14,6 +14,7 @@
 from .rollout import RolloutOrder, RolloutState, Stage
 from .service_rollout import ServiceRollout
 from .store_entries import BlockedRequest, Evacuation, PeerAddress
+from .superseded import SupersededEntries
 from .upstream import Upstream
 
 logger = logging.getLogger("merlinnotch")
@@ -64,6 +65,7 @@
         self._ended_starts = collections.OrderedDict()
         self._upstreams = {}
         self._expired = {}
+        self._superseded = SupersededEntries()
         self._rollouts = {}
         self.configuration = None
         self.peer_directory = PeerDirectory()
@@ -87,6 +89,19 @@
             else:
                 self._apply_item(key_change.item, now)
 
+    def apply_copy(self, key_changes, now):
+        """Apply the state of a store that was restored from a copy, as seen at *now*.
+
+        What was written since the copy is lost, and is written again by those who wrote
+        it: entries of upstreams that are missing are kept for a grace period, and those
+        that are older than what is known are ignored.
+        """
+        for key_change in key_changes:
+            if key_change.item is None:
+                self._apply_deletion(key_change.key, now, store_restored_at=now)
+            elif not self._is_superseded(key_change.item, now):
+                self._apply_item(key_change.item, now)
+
     def list_upstreams(self, service):
         """Return the upstreams of *service* that may get new work by the store."""
         return [
@@ -196,6 +211,8 @@
             if now >= deadline:
                 del self._expired[key]
                 self._remove_upstream(upstream, "lapsed")
+        for item in self._superseded.pop_due(now):
+            self._apply_item(item, now)
         deadlines = [deadline for _, deadline in self._expired.values()]
         return min(deadlines) - now if deadlines else None
 
@@ -207,7 +224,21 @@
         services = self.configuration.services
         return any(self._upstreams.get(service) for service in services)
 
+    def _is_superseded(self, item, now):
+        """Return whether an item of a restored store is older than what is known."""
+        try:
+            entry = self._decode(item.key, item.value, item.modify_index)
+        except (ConfigurationInvalid, ValueError):
+            return False
+        if not isinstance(entry, Upstream):
+            return False
+        current = self._entries.get(item.key)
+        if not isinstance(current, Upstream):
+            current = None
+        return self._superseded.is_superseded(item, entry, current, now)
+
     def _apply_item(self, item, now):
+        self._superseded.forget(item.key)
         try:
             entry = self._decode(item.key, item.value, item.modify_index)
         except (ConfigurationInvalid, ValueError) as error:
@@ -241,7 +272,9 @@
 
     def _apply_deletion(self, key, now, store_restored_at):
         entry = self._entries.pop(key, None)
+        self._superseded.forget(key)
         if isinstance(entry, Upstream):
+            self._superseded.record_removed(entry)
             if store_restored_at is None:
                 self._remove_upstream(entry, "removed")
             else:
--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -280,4 +280,5 @@
         draining=document.state == "draining",
         cold_s=document.cold_left_ms / MS_PER_S,
         started_ms=document.born,
+        sequence=document.seq,
     )
