Restored store: instances write their addresses again at once

What callers would see: instances that peers don't know, which is shares of limits, permits and watchers that don't add up, for up to 30 s.

Cause: the lease, and with it the address, was renewed each 10 s only, with a number that may belong to somebody else after the restore. Change: the client tells of a later era, and the instance registers within 0.5 s, spread at random.

--- a/src/merlinnotch/_entry/announcer.py
+++ b/src/merlinnotch/_entry/announcer.py
@@ -3,6 +3,7 @@
 import logging
 
 import eventlet
+import eventlet.queue
 
 from .._errors import StoreError
 from .._fleet import PeerAddress
@@ -15,7 +16,8 @@
 """A third of the TTL, so that the lease survives two failed renewals."""
 RETRY_DELAY_S = 2.0
 MAX_INITIAL_DELAY_S = 0.5
-"""Spreads the first registrations of instances that start together."""
+"""Spreads the registrations of instances that start together, or that register again
+after the store was restored."""
 
 
 class Announcer:
@@ -26,12 +28,21 @@
         self._peer = PeerAddress(name, zone, address)
         self._generator = generator
         self._lease = None
+        self._restores = eventlet.queue.LightQueue(1)
 
     def run(self):
         """Register and renew the lease until the process ends."""
-        eventlet.sleep(self._generator.uniform(0, MAX_INITIAL_DELAY_S))
+        self._sleep_initially()
         while True:
-            eventlet.sleep(self._renew())
+            delay_s = self._renew()
+            if self._wait_for_restore(delay_s):
+                self._sleep_initially()
+
+    def announce_again(self):
+        """Register this instance again, as a restored store may have lost it."""
+        self._lease = None
+        if self._restores.empty():
+            self._restores.put_nowait(True)
 
     def stop(self):
         """Close the lease, so that peers stop calling this instance."""
@@ -42,6 +53,16 @@
         except StoreError as error:
             logger.info("failed to close the lease", extra={"reason": str(error)})
 
+    def _sleep_initially(self):
+        eventlet.sleep(self._generator.uniform(0, MAX_INITIAL_DELAY_S))
+
+    def _wait_for_restore(self, wait_s):
+        """Wait up to *wait_s*; return whether the store was restored meanwhile."""
+        try:
+            return self._restores.get(timeout=wait_s)
+        except eventlet.queue.Empty:
+            return False
+
     def _renew(self):
         """Register or renew the lease; return the seconds until the next call."""
         try:
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -162,6 +162,7 @@
             settings.instance.peer_address,
             generator,
         )
+        self.store.on_restored = self._announcer.announce_again
         self._rollout_controller = RolloutController(
             self.store,
             self.view,
