Restored store: blocks stay in force and are written again

What callers would see: none; a request or prompt part that crashes upstreams would be sent again, as its block is missing in the copy.

Cause: a missing block was taken for one that an operator or its end had deleted, and a block that was stored once counted as stored for good. Change: blocks that a restored store lacks are marked as lost, announced, and written by the first evaluator that can.

--- a/src/merlinnotch/_entry/crash_detector.py
+++ b/src/merlinnotch/_entry/crash_detector.py
@@ -199,6 +199,10 @@
                 eventlet.spawn_n(self._writer.delete, fingerprint)
         if self._name in ranked[:ANNOUNCER_COUNT]:
             self._announce_unstored_blocks(now)
+        for fingerprint in self._view.blocked.pop_lost():
+            if self._name in ranked:
+                delay_s = ranked.index(self._name) * WRITE_RETRY_DELAY_S
+                eventlet.spawn_n(self._writer.write, fingerprint, delay_s)
 
     def _announce_unstored_blocks(self, now):
         """Announce the blocks that started instances can't read from the store.
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -98,7 +98,7 @@
         """
         for key_change in key_changes:
             if key_change.item is None:
-                self._apply_deletion(key_change.key, now, store_restored_at=now)
+                self._apply_loss(key_change.key, now)
             elif not self._is_superseded(key_change.item, now):
                 self._apply_item(key_change.item, now)
 
@@ -237,6 +237,14 @@
             current = None
         return self._superseded.is_superseded(item, entry, current, now)
 
+    def _apply_loss(self, key, now):
+        """Handle an entry that a restored store doesn't have."""
+        entry = self._entries.get(key)
+        if isinstance(entry, BlockedRequest):
+            self.blocked.mark_lost(entry.fingerprint)
+        else:
+            self._apply_deletion(key, now, store_restored_at=now)
+
     def _apply_item(self, item, now):
         self._superseded.forget(item.key)
         try:
--- a/src/merlinnotch/_poison/blocked.py
+++ b/src/merlinnotch/_poison/blocked.py
@@ -15,6 +15,7 @@
         self.on_added = lambda fingerprint: None
         self._blocked_until = {}
         self._stored = set()
+        self._lost = set()
 
     def __len__(self):
         return len(self._blocked_until)
@@ -38,10 +39,22 @@
         """Unblock a fingerprint."""
         self._blocked_until.pop(fingerprint, None)
         self._stored.discard(fingerprint)
+        self._lost.discard(fingerprint)
 
     def mark_stored(self, fingerprint):
         """Record that the store contains the block."""
         self._stored.add(fingerprint)
+        self._lost.discard(fingerprint)
+
+    def mark_lost(self, fingerprint):
+        """Record that the store has lost the block, which stays in force."""
+        self._stored.discard(fingerprint)
+        self._lost.add(fingerprint)
+
+    def pop_lost(self):
+        """Return the fingerprints of blocks to write again, each of them once."""
+        lost, self._lost = self._lost, set()
+        return lost
 
     def is_stored(self, fingerprint):
         """Return whether the block is stored, so that new instances apply it."""
