Restored store: lost orders of operators stay in force for 10 s

What callers would see: requests in a zone that an operator has evacuated, and a rollout that stops, until the operator's order is written again.

Cause: a missing order was taken for one that has ended.

--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -23,6 +23,9 @@
 """Grace period for entries that expired in a store outage, from the end of the outage.
 During it the platform restores the entries of all live upstreams that reach the
 store."""
+LOST_ORDER_GRACE_S = 10.0
+"""How long operators' orders that a restored store lacks stay in force. Operators write
+again what they wrote since the copy."""
 SEND_MARGIN_S = 0.2
 """Time between the last use of a deleted entry and the deadline for changes. Requests
 sent just before the deadline must still arrive in time."""
@@ -66,6 +69,7 @@
         self._upstreams = {}
         self._expired = {}
         self._superseded = SupersededEntries()
+        self._lost_until = {}
         self._rollouts = {}
         self.configuration = None
         self.peer_directory = PeerDirectory()
@@ -93,8 +97,9 @@
         """Apply the state of a store that was restored from a copy, as seen at *now*.
 
         What was written since the copy is lost, and is written again by those who wrote
-        it: entries of upstreams that are missing are kept for a grace period, and those
-        that are older than what is known are ignored.
+        it. Entries of upstreams and orders that are missing are kept for a grace
+        period, blocks for good, and entries that are older than what is known are
+        ignored.
         """
         for key_change in key_changes:
             if key_change.item is None:
@@ -211,6 +216,9 @@
             if now >= deadline:
                 del self._expired[key]
                 self._remove_upstream(upstream, "lapsed")
+        for key, deadline in list(self._lost_until.items()):
+            if now >= deadline:
+                self._apply_deletion(key, now, None)
         for item in self._superseded.pop_due(now):
             self._apply_item(item, now)
         deadlines = [deadline for _, deadline in self._expired.values()]
@@ -242,11 +250,14 @@
         entry = self._entries.get(key)
         if isinstance(entry, BlockedRequest):
             self.blocked.mark_lost(entry.fingerprint)
+        elif isinstance(entry, Evacuation | RolloutOrder):
+            self._lost_until[key] = now + LOST_ORDER_GRACE_S
         else:
             self._apply_deletion(key, now, store_restored_at=now)
 
     def _apply_item(self, item, now):
         self._superseded.forget(item.key)
+        self._lost_until.pop(item.key, None)
         try:
             entry = self._decode(item.key, item.value, item.modify_index)
         except (ConfigurationInvalid, ValueError) as error:
@@ -281,6 +292,7 @@
     def _apply_deletion(self, key, now, store_restored_at):
         entry = self._entries.pop(key, None)
         self._superseded.forget(key)
+        self._lost_until.pop(key, None)
         if isinstance(entry, Upstream):
             self._superseded.record_removed(entry)
             if store_restored_at is None:
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from merlinnotch._fleet import view as view_module
 from merlinnotch._store import get_revision
 from tests.platform_world import (
     PORTS,
@@ -191,3 +192,14 @@
     world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
     eventlet.sleep(2.5)
     assert one.view.is_zone_evacuated("zone-a")
+
+
+def test_evacuation_that_nobody_writes_again_ends(world, monkeypatch):
+    monkeypatch.setattr(view_module, "LOST_ORDER_GRACE_S", 0.5)
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    store_copy = world.store.take_copy()
+    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
+    wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
+    world.store.restore(store_copy)
+    wait_until(lambda: not one.view.is_zone_evacuated("zone-a"))
