Restored store: rollouts go on from what was decided

What callers would see: after a restore a rejected version is tried anew, and traffic goes back from a complete version to its first stage, where the copy lacks the status, the stage or the order.

Cause: the order's place among all writes told whether a status belongs to it; an order that is written again counted as a new one, which also ended the rejection of its target. Class: an identity taken from a position.

Change: an order with the same terms in a later era is the same order: its age, final state and rejections hold, and stages don't go back. A final state that the store lacks is written again, after the takeover delay. An order of other terms that gets the same revision begins anew.

--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -72,6 +72,7 @@
         self._order_indexes = {}
         self._coverages = {}
         self._rejected_at = {}
+        self._lacking_since = {}
 
     def run(self):
         """Reconcile active rollouts until the process ends."""
@@ -83,16 +84,28 @@
             )
             now = self._read_clock()
             for service, rollout in self._view.list_active_rollouts():
-                try:
-                    self._reconcile(service, rollout, now)
-                except StoreConflict:
-                    logger.info(
-                        "rollout step already written by another instance",
-                        extra={"service": service},
-                    )
-                except StoreError as error:
-                    fields = {"service": service, "reason": str(error)}
-                    logger.warning("failed to write rollout step", extra=fields)
+                self._try_step(self._reconcile, service, rollout, now)
+            for service, rollout in self._view.list_unwritten_rollouts():
+                self._try_step(self._write_again, service, rollout, now)
+
+    def _try_step(self, step, service, rollout, now):
+        try:
+            step(service, rollout, now)
+        except StoreConflict:
+            logger.info(
+                "rollout step already written by another instance",
+                extra={"service": service},
+            )
+        except StoreError as error:
+            fields = {"service": service, "reason": str(error)}
+            logger.warning("failed to write rollout step", extra=fields)
+
+    def _write_again(self, service, rollout, now):
+        """Write a final state that a restored store lacks, after the takeover delay."""
+        lacking_since = self._lacking_since.setdefault(service, now)
+        if now - lacking_since >= self._compute_takeover_delay(service):
+            self._write_state(service, rollout, rollout.decided_state)
+            del self._lacking_since[service]
 
     def _reconcile(self, service, rollout, now):
         if self._order_indexes.get(service) != rollout.order.index:
--- a/src/merlinnotch/_fleet/rollout.py
+++ b/src/merlinnotch/_fleet/rollout.py
@@ -33,6 +33,15 @@
         """The store's index of the order, which is comparable to that of a status."""
         return build_index(self.era, self.index)
 
+    def is_copy_of(self, earlier):
+        """Return whether this is *earlier* in a store that has been restored since.
+
+        The copy holds it, or the operator has written it again.
+        """
+        terms = (self.service, self.target, self.period_s)
+        earlier_terms = (earlier.service, earlier.target, earlier.period_s)
+        return terms == earlier_terms and self.era > earlier.era
+
 
 @dataclass(frozen=True)
 class RolloutStatus:
--- a/src/merlinnotch/_fleet/service_rollout.py
+++ b/src/merlinnotch/_fleet/service_rollout.py
@@ -1,7 +1,9 @@
 """The rollout state of one service."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
+from .._store import ABSENT, get_era
 from .rollout import RolloutOrder, RolloutState, RolloutStatus, Stage
 
 
@@ -11,7 +13,8 @@
 
     The order was *order_age_at_seen_s* seconds old at *seen_at* on the local clock, by
     the greatest age reported so far. *bad_versions* were reverted and have not
-    been ordered again since.
+    been ordered again since. *decided_state* is the final state of the order that a
+    restored store may lack.
     """
 
     order: RolloutOrder | None = None
@@ -20,12 +23,24 @@
     seen_at: float = 0.0
     order_age_at_seen_s: float = 0.0
     bad_versions: set[str] = field(default_factory=set)
+    decided_state: RolloutState | None = None
 
     @property
     def state(self):
         """The :class:`RolloutState` of the current order, None without one."""
         if self.order is None:
             return None
+        return self.decided_state or self._stored_state
+
+    @property
+    def is_state_unwritten(self):
+        """Whether the store lacks the final state of the order."""
+        if self.order is None or self.decided_state is None:
+            return False
+        return self._stored_state is not self.decided_state
+
+    @property
+    def _stored_state(self):
         status = self.status
         if status is None or status.index < self.order.modify_index:
             return RolloutState.ACTIVE
@@ -63,7 +78,7 @@
         if isinstance(entry, RolloutOrder):
             self._set_order(entry, now)
         elif isinstance(entry, Stage):
-            self.stage = entry
+            self._set_stage(entry)
             if self.current_stage is not None:
                 self.raise_order_age(entry.age_s, now)
         elif isinstance(entry, RolloutStatus):
@@ -71,6 +86,18 @@
             if entry.state is RolloutState.REVERTED:
                 self.bad_versions.add(entry.target)
 
+    def handle_restore(self):
+        """Keep what was decided, as the store was restored from a copy."""
+        if self.state in (RolloutState.COMPLETE, RolloutState.REVERTED):
+            self.decided_state = self.state
+
+    def lose(self, entry):
+        """Handle that a restored store lacks the stage or the status *entry*."""
+        if isinstance(entry, RolloutStatus):
+            self.status = None
+        elif self.stage is not None:
+            self.stage = dataclasses.replace(self.stage, index=ABSENT)
+
     def build_log_fields(self):
         """Return the rollout's state as fields of a log line."""
         stage = self.current_stage
@@ -80,8 +107,27 @@
             "share": stage.share if stage else 0.0,
         }
 
+    def _set_stage(self, stage):
+        known = self.stage
+        if (
+            known is not None
+            and known.order_index == stage.order_index
+            and known.number > stage.number
+            and get_era(known.index) < get_era(stage.index)
+        ):
+            # A restored store goes back, the rollout does not.
+            stage = dataclasses.replace(known, index=stage.index)
+        self.stage = stage
+
     def _set_order(self, order, now):
+        previous = self.order
         self.order = order
+        if previous is not None and order.is_copy_of(previous):
+            return
+        self.decided_state = None
+        if previous is not None and previous.index == order.index:
+            # The revision was given out again, to another order.
+            self.stage = None
         self.seen_at = now
         stage = self.current_stage
         self.order_age_at_seen_s = stage.age_s if stage is not None else 0.0
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -11,7 +11,7 @@
 from .configuration import Configuration
 from .evacuations import EvacuatedZones
 from .peers import PeerDirectory
-from .rollout import RolloutOrder, RolloutState, Stage
+from .rollout import RolloutOrder, RolloutState, RolloutStatus, Stage
 from .service_rollout import ServiceRollout
 from .store_entries import BlockedRequest, Evacuation, PeerAddress
 from .superseded import SupersededEntries
@@ -101,6 +101,8 @@
         period, blocks for good, and entries that are older than what is known are
         ignored.
         """
+        for rollout in self._rollouts.values():
+            rollout.handle_restore()
         for key_change in key_changes:
             if key_change.item is None:
                 self._apply_loss(key_change.key, now)
@@ -193,6 +195,14 @@
             if rollout.state is RolloutState.ACTIVE
         ]
 
+    def list_unwritten_rollouts(self):
+        """Return the (service, rollout) pairs whose final state the store lacks."""
+        return [
+            (service, rollout)
+            for service, rollout in self._rollouts.items()
+            if rollout.is_state_unwritten
+        ]
+
     def list_present_peers(self):
         """Return the peers that hold a lease."""
         return self.peer_directory.list_present()
@@ -252,6 +262,9 @@
             self.blocked.mark_lost(entry.fingerprint)
         elif isinstance(entry, Evacuation | RolloutOrder):
             self._lost_until[key] = now + LOST_ORDER_GRACE_S
+        elif isinstance(entry, RolloutStatus | Stage):
+            del self._entries[key]
+            self.get_rollout(entry.service).lose(entry)
         else:
             self._apply_deletion(key, now, store_restored_at=now)
 
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from merlinnotch._fleet import RolloutState
 from merlinnotch._fleet import view as view_module
 from merlinnotch._store import get_revision
 from tests.platform_world import (
@@ -203,3 +204,19 @@
     wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
     world.store.restore(store_copy)
     wait_until(lambda: not one.view.is_zone_evacuated("zone-a"))
+
+
+def test_final_state_of_a_rollout_is_written_again(world):
+    world.add_upstream("i-1", version="v2")
+    one = world.add_instance()
+    world.store.put(
+        "op/rollout/app", {"service": "app", "target": "v2", "period-s": 60.0}
+    )
+    wait_until(lambda: world.store.read("status/rollout/app"))
+    store_copy = world.store.take_copy()
+    status = {"service": "app", "target": "v2", "state": "complete"}
+    world.store.put("status/rollout/app", status)
+    wait_until(lambda: one.view.get_rollout("app").state is RolloutState.COMPLETE)
+    world.store.restore(store_copy)
+    wait_until(lambda: b"complete" in world.store.read("status/rollout/app"), IN_TIME_S)
+    assert one.view.get_rollout("app").state is RolloutState.COMPLETE
