Soak: the store comes back from older copies

Planned apart, so that the other faults of a seed stay the same. The stand-in's operator and upstreams write again what they wrote.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -36,8 +36,12 @@
 """Further methods, planned apart so that the plan of KINDS does not depend on them."""
 LIMIT_KINDS = ("limit",)
 """Planned apart for the same reason."""
+RESTORE_KINDS = ("restore_store",)
+"""Planned apart for the same reason."""
 MEAN_NOTICE_INTERVAL_S = 2.0
 MEAN_LIMIT_INTERVAL_S = 4.0
+MEAN_RESTORE_INTERVAL_S = 6.0
+RESTORE_OUTAGE_S = 0.5
 LIMITS_PER_S = (0.5, 1.1, 2.7, 8.0)
 LIMIT_CHANGES = (0.25, 2.0)
 """Factors by which a limit falls or rises while it is named."""
@@ -52,8 +56,8 @@
 class Fault:
     """One planned fault; *at_s* is its start in seconds from the start of the soak.
 
-    *kind* is one of KINDS, NOTICE_KINDS or LIMIT_KINDS. *target* selects the instance,
-    proxy or upstream, modulo their number.
+    *kind* is one of KINDS, NOTICE_KINDS, LIMIT_KINDS or RESTORE_KINDS. *target* selects
+    the instance, proxy or upstream, modulo their number.
     """
 
     at_s: float
@@ -76,7 +80,9 @@
     return faults
 
 
-def plan_all_faults(generator, notice_generator, limit_generator, soak_duration_s):
+def plan_all_faults(
+    generator, notice_generator, limit_generator, restore_generator, soak_duration_s
+):
     """Return the faults of all plans in the order of their start."""
     faults = plan_faults(generator, soak_duration_s)
     faults += plan_faults(
@@ -85,6 +91,9 @@
     faults += plan_faults(
         limit_generator, soak_duration_s, LIMIT_KINDS, MEAN_LIMIT_INTERVAL_S
     )
+    faults += plan_faults(
+        restore_generator, soak_duration_s, RESTORE_KINDS, MEAN_RESTORE_INTERVAL_S
+    )
     return sorted(faults, key=operator.attrgetter("at_s"))
 
 
@@ -167,6 +176,18 @@
             store.is_unresponsive = False
             store.dropped_replies = 0
 
+    def _restore_store(self, fault):
+        """Let the store come back from a copy that is *duration_s* old."""
+        store = self._world.store
+        with self._record_span(self._world.instances):
+            store_copy = store.take_copy()
+            eventlet.sleep(fault.duration_s)
+            store.status = 503
+            eventlet.sleep(RESTORE_OUTAGE_S)
+            store.restore(store_copy)
+            store.status = None
+            self._world.write_again()
+
     def _cut_upstream(self, fault):
         proxy = self._select_target(self._world.proxies, fault)
         with self._record_interruption(proxy):
--- a/soak/world.py
+++ b/soak/world.py
@@ -35,6 +35,7 @@
         self.generator = random.Random(seed)
         self._notice_generator = random.Random(f"notices {seed}")
         self._limit_generator = random.Random(f"limits {seed}")
+        self._restore_generator = random.Random(f"restores {seed}")
         self._poison_generator = random.Random(f"poison {seed}")
         self.history = History()
         self.store = StandInStore()
@@ -43,6 +44,8 @@
         self.folder = folder or tempfile.mkdtemp(prefix="soak-")
         self._upstream_count = 0
         self._config_version = 0
+        self._configuration = None
+        self._entries = {}
         self.rotate_keys()
         for service, count in UPSTREAMS:
             for _ in range(count):
@@ -73,7 +76,11 @@
         injector = FaultInjector(self)
         injections = []
         for fault in plan_all_faults(
-            self.generator, self._notice_generator, self._limit_generator, duration_s
+            self.generator,
+            self._notice_generator,
+            self._limit_generator,
+            self._restore_generator,
+            duration_s,
         ):
             eventlet.sleep(max(0.0, started_at + fault.at_s - read_clock()))
             injections.append(eventlet.spawn(injector.inject, fault))
@@ -97,9 +104,20 @@
         """Write a configuration that drops the older key and adds a new one."""
         self._config_version += 1
         keys = [f"key-{self._config_version}", f"key-{self._config_version + 1}"]
-        self.store.put("op/config", make_configuration(self._config_version, keys))
+        self._configuration = make_configuration(self._config_version, keys)
+        self.store.put("op/config", self._configuration)
         self.history.key_versions.append((read_clock(), keys))
 
+    def write_again(self):
+        """Write what the operator and the upstreams wrote, after a restore."""
+        self.store.put("op/config", self._configuration)
+        for key in [k for k in self.store.items if k.startswith("servers/")]:
+            if key not in self._entries:
+                self.store.delete(key)
+        for key, entry in self._entries.items():
+            entry["seq"] += 1
+            self.store.put(key, entry)
+
     def replace_upstream(self, upstream):
         """Add a replacement for an upstream, then drain and remove it."""
         if upstream not in self.upstreams:
@@ -109,7 +127,7 @@
         self.history.drained_at[upstream.id] = read_clock()
         self.upstreams.remove(upstream)
         eventlet.sleep(3.0)
-        self.store.delete(f"servers/{upstream.id}")
+        self._delete_entry(upstream)
         eventlet.sleep(3.0)
         upstream.close()
 
@@ -124,7 +142,7 @@
 
     def _replace_crashed(self, upstream):
         eventlet.sleep(REPLACEMENT_DELAY_S)
-        self.store.delete(f"servers/{upstream.id}")
+        self._delete_entry(upstream)
         self._add_upstream(upstream.service)
 
     def _add_upstream(self, service):
@@ -154,7 +172,16 @@
             "cold-left-ms": 0,
             "seq": 0,
         }
-        self.store.put(f"servers/{upstream.id}", entry)
+        key = f"servers/{upstream.id}"
+        if key in self._entries:
+            entry["seq"] = self._entries[key]["seq"] + 1
+        self._entries[key] = entry
+        self.store.put(key, entry)
+
+    def _delete_entry(self, upstream):
+        key = f"servers/{upstream.id}"
+        self._entries.pop(key, None)
+        self.store.delete(key)
 
     def _make_instance(self, number, seed):
         host, _, port = self.store.address.partition(":")
