Specification of mirrors of a store that is restored from a copy

The mirrors match the store's history in each era; a variant that orders by revision alone mixes states (restored_store.build_without_eras).

--- a/tests/specs/test_specs.py
+++ b/tests/specs/test_specs.py
@@ -3,7 +3,15 @@
 import pytest
 from minicheck import check_safety
 
-from specs import configuration, evacuation, ledger, mirror, orders, rollout
+from specs import (
+    configuration,
+    evacuation,
+    ledger,
+    mirror,
+    orders,
+    restored_store,
+    rollout,
+)
 
 MAX_STATES = 400_000
 
@@ -121,3 +129,12 @@
 )
 def test_faulty_views_have_wrong_targets(build):
     assert not property_holds(build(), TARGETS)
+
+
+def test_mirrors_match_a_store_that_is_restored():
+    assert property_holds(restored_store.build(), "mirrors_match_history")
+
+
+def test_mirrors_that_know_no_eras_mix_states():
+    protocol = restored_store.build_without_eras()
+    assert not property_holds(protocol, "mirrors_match_history")
