Store: a full read that didn't help is repeated with a pause

Cause: a watch that gets 410 is followed by a full read at once, also where the full read before was ignored. Evidence: the new test, of a store that goes back without telling its era, fails before. Change: without a watch that succeeded in between, the next full read waits for the retry delay.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -48,6 +48,7 @@
         self._recovered_at = None
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._has_full_copy = False
+        self._has_watched = False
 
     def run(self):
         """Synchronize until the process ends."""
@@ -70,6 +71,10 @@
                 extra={"index": self._mirror.index},
             )
             self._has_full_copy = False
+            if not self._has_watched:
+                # The full read before this one was of no use.
+                eventlet.sleep(self._retry_delay_s)
+            self._has_watched = False
         except StoreUnavailable as error:
             self._record_failure(error)
             self._fetch_from_peers()
@@ -104,6 +109,7 @@
                 ALL_KEYS_PREFIX, since, self._limit_watch_time()
             )
             self._record_reply()
+            self._has_watched = True
             self._apply(self._mirror.apply, changes)
             self._change_forwarder.forward(
                 since, changes.index, changes, self._measure_recovery_age()
--- a/tests/entry/test_store_sync.py
+++ b/tests/entry/test_store_sync.py
@@ -1,5 +1,6 @@
 """Synchronization with the store through failures."""
 
+import eventlet
 from msgspec.structs import replace
 
 from merlinnotch._fleet.view import EXPIRED_ENTRY_GRACE_S
@@ -106,3 +107,17 @@
     assert 2 <= len(world.store.calls) - count <= 9
     world.store.status = None
     wait_until(lambda: one.store_sync.is_connected)
+
+
+def test_store_that_drops_each_history_is_read_with_pauses(world):
+    world.add_upstream("i-1")
+    one = world.add_instance()
+    wait_until(lambda: one.store_sync.is_connected)
+    # Nothing says that the revisions have gone back.
+    world.store.revision += 100
+    world.store.put("op/other", {})
+    wait_until(lambda: "op/other" in one.mirror.items)
+    world.store.revision = world.store.compacted_revision = 1
+    before = world.store.calls.count(("GET", "/kv-range"))
+    eventlet.sleep(1.0)
+    assert world.store.calls.count(("GET", "/kv-range")) - before <= 6
