A stopping instance doesn't register again

What callers would see: peers relay to, and share limits with, an instance that is about to end.

Cause: the announcer took the end of its closed lease for a loss and registered anew, within 12 s.

--- a/src/merlinnotch/_entry/announcer.py
+++ b/src/merlinnotch/_entry/announcer.py
@@ -28,6 +28,7 @@
         self._peer = PeerAddress(name, zone, address)
         self._generator = generator
         self._lease = None
+        self._is_stopped = False
         self._restores = eventlet.queue.LightQueue(1)
 
     def run(self):
@@ -45,7 +46,8 @@
             self._restores.put_nowait(True)
 
     def stop(self):
-        """Close the lease, so that peers stop calling this instance."""
+        """Close the lease for good, so that peers stop calling this instance."""
+        self._is_stopped = True
         if self._lease is None:
             return
         try:
@@ -65,6 +67,8 @@
 
     def _renew(self):
         """Register or renew the lease; return the seconds until the next call."""
+        if self._is_stopped:
+            return RENEWAL_INTERVAL_S
         try:
             if self._lease is None:
                 self._register()
