Restored store: peers stay present until they register again

What callers would see: for a moment after a restore each instance takes itself for the only one, so that limits, permits and watches are shared anew, as the addresses are missing in the copy.

Evidence: the new test fails before.

--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -23,9 +23,9 @@
 """Grace period for entries that expired in a store outage, from the end of the outage.
 During it the platform restores the entries of all live upstreams that reach the
 store."""
-LOST_ORDER_GRACE_S = 10.0
-"""How long operators' orders that a restored store lacks stay in force. Operators write
-again what they wrote since the copy."""
+LOST_ENTRY_GRACE_S = 10.0
+"""How long operators' orders and instances' addresses that a restored store lacks stay
+in force. Operators and instances write again what they wrote since the copy."""
 SEND_MARGIN_S = 0.2
 """Time between the last use of a deleted entry and the deadline for changes. Requests
 sent just before the deadline must still arrive in time."""
@@ -97,8 +97,8 @@
         """Apply the state of a store that was restored from a copy, as seen at *now*.
 
         What was written since the copy is lost, and is written again by those who wrote
-        it. Entries of upstreams and orders that are missing are kept for a grace
-        period, blocks for good, and entries that are older than what is known are
+        it. Entries of upstreams, orders and addresses that are missing are kept for a
+        grace period, blocks for good, and entries that are older than what is known are
         ignored.
         """
         for rollout in self._rollouts.values():
@@ -260,8 +260,8 @@
         entry = self._entries.get(key)
         if isinstance(entry, BlockedRequest):
             self.blocked.mark_lost(entry.fingerprint)
-        elif isinstance(entry, Evacuation | RolloutOrder):
-            self._lost_until[key] = now + LOST_ORDER_GRACE_S
+        elif isinstance(entry, Evacuation | RolloutOrder | PeerAddress):
+            self._lost_until[key] = now + LOST_ENTRY_GRACE_S
         elif isinstance(entry, RolloutStatus | Stage):
             del self._entries[key]
             self.get_rollout(entry.service).lose(entry)
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -303,7 +303,7 @@
 
         A reply without a valid era belongs to the current one.
         """
-        if text is None or not text.isdigit():
+        if text is None or not text.isdecimal():
             return
         era = int(text)
         if era < self.era:
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -167,6 +167,18 @@
     wait_until(lambda: one.view.list_present_peers(), IN_TIME_S)
 
 
+def test_peers_stay_present_until_they_are_written_again(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    one, two = world.add_instance("one"), world.add_instance("two")
+    wait_until(lambda: len(one.view.list_present_peers()) == 2)
+    two.store.set_address(PORTS.pick("127.0.0.1"))
+    world.store.restore(store_copy)
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+    assert len(one.view.list_present_peers()) == 2
+
+
 def test_block_is_written_again(world):
     world.add_upstream("i-1")
     one = world.add_instance()
@@ -196,7 +208,7 @@
 
 
 def test_evacuation_that_nobody_writes_again_ends(world, monkeypatch):
-    monkeypatch.setattr(view_module, "LOST_ORDER_GRACE_S", 0.5)
+    monkeypatch.setattr(view_module, "LOST_ENTRY_GRACE_S", 0.5)
     world.add_upstream("i-1")
     one = world.add_instance()
     store_copy = world.store.take_copy()
