Retry budget: tokens of requests expire after 0.08 of a window

Cause: grants a started instance no retries for half a window, which is most of what callers lose.

Change: tokens are valid for no longer than the share of the budget that instances leave unused, and a started instance grants as many as others.

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -28,7 +28,8 @@
 
 RETRY_BUDGET_SHARE = 0.92
 """Share of the fleet's retry budget that instances use, as their windows are not
-aligned with the fleet's."""
+aligned with the fleet's. The rest also covers the tokens that restarts grant again, see
+TOKEN_TTL_SHARE of the budget."""
 
 
 def build_parts(
@@ -136,5 +137,4 @@
         retries.ratio * RETRY_BUDGET_SHARE,
         retries.window_s,
         OwnSlack(slack, name, view, started_at, retries.window_s).get,
-        started_at,
     )
--- a/src/merlinnotch/_gateway/retry_budgets.py
+++ b/src/merlinnotch/_gateway/retry_budgets.py
@@ -10,15 +10,13 @@
 
     In any *window_s* seconds the fleet may make *ratio* times its first attempts plus
     its slack retries. *get_own_slack* returns this instance's current share of the
-    slack for a service and a time, see :func:`share_slack`. *started_at* is when the
-    process was started.
+    slack for a service and a time, see :func:`share_slack`.
     """
 
-    def __init__(self, ratio, window_s, get_own_slack, started_at):
+    def __init__(self, ratio, window_s, get_own_slack):
         self._ratio = ratio
         self._window_s = window_s
         self._get_own_slack = get_own_slack
-        self._started_at = started_at
         self._budgets = {}
 
     def get(self, service, now):
@@ -26,9 +24,7 @@
         own_slack = self._get_own_slack(service, now)
         budget = self._budgets.get(service)
         if budget is None:
-            budget = SlidingWindowRetryBudget(
-                self._ratio, own_slack, self._window_s, self._started_at
-            )
+            budget = SlidingWindowRetryBudget(self._ratio, own_slack, self._window_s)
             self._budgets[service] = budget
         budget.reserve = own_slack
         return budget
--- a/src/merlinnotch/_limits/sliding_window.py
+++ b/src/merlinnotch/_limits/sliding_window.py
@@ -1,11 +1,11 @@
 """A retry budget over a sliding time window."""
 
 import collections
-import math
 from dataclasses import dataclass
 
-TOKEN_TTL_SHARE = 0.5
-"""How long the tokens of a first attempt are valid, as a share of the window."""
+TOKEN_TTL_SHARE = 0.08
+"""How long the tokens of a first attempt are valid, as a share of the window. In a
+window after a restart, retries are granted for this much more than the window."""
 
 
 @dataclass
@@ -27,23 +27,21 @@
 class SlidingWindowRetryBudget:
     """Limits retries to a fraction of the first attempts in the last *window_s*.
 
-    Each first attempt grants *ratio* tokens, which expire after half a window. A retry
-    takes one, and what is missing from *reserve*. In any window the retries are at most
+    Each first attempt grants *ratio* tokens, which expire soon. A retry takes one, and
+    what is missing from *reserve*. In any window the retries are at most
     *ratio* times the first attempts plus *reserve*. If each instance uses its share of
     a reserve, the whole fleet keeps to the limit without coordination; *reserve* may
     change with the fleet.
 
-    First attempts grant no tokens until half a window after *started_at*. That makes up
-    for the tokens that the process before a restart had saved, so that both together
-    keep to the limit.
+    A process forgets at a restart what it has granted. As few tokens can be saved up,
+    the processes before and after it keep to nearly the same limit together.
     """
 
-    def __init__(self, ratio, reserve, window_s, started_at=-math.inf):
+    def __init__(self, ratio, reserve, window_s):
         self._ratio = ratio
         self.reserve = reserve
         self._window_s = window_s
         self._token_ttl_s = TOKEN_TTL_SHARE * window_s
-        self._granting_from = started_at + self._token_ttl_s
         self._first_attempts = collections.deque()
         self._retries = collections.deque()
         self._tokens = collections.deque()
@@ -52,8 +50,6 @@
     def record_first_attempt(self, now):
         """Count a first attempt at *now*."""
         self._drop_expired(now)
-        if now < self._granting_from:
-            return
         self._first_attempts.append(now)
         self._tokens.append(_Tokens(now, self._ratio))
 
