--- a/src/merlinnotch/_limits/sliding_window.py
+++ b/src/merlinnotch/_limits/sliding_window.py
@@ -28,10 +28,10 @@
     """Limits retries to a fraction of the first attempts in the last *window_s*.
 
     Each first attempt grants *ratio* tokens, which expire soon. A retry takes one, and
-    what is missing from *reserve*. In any window the retries are at most
-    *ratio* times the first attempts plus *reserve*. If each instance uses its share of
-    a reserve, the whole fleet keeps to the limit without coordination; *reserve* may
-    change with the fleet.
+    what is missing from *reserve*. In any window the retries are at most *ratio* times
+    the first attempts plus *reserve*. If each instance uses its share of a reserve, the
+    whole fleet keeps to the limit without coordination; *reserve* may change with the
+    fleet.
 
     A process forgets at a restart what it has granted. As few tokens can be saved up,
     the processes before and after it keep to nearly the same limit together.
