Stall monitor: use the beats that there are; freshness without None

The stall monitor had a timer of its own beside that of the connection gate: one task of the process feeds both now. The time from which forwarded changes are valid is minus infinity instead of None, which two branches asked for. RETRY_WINDOW_S of a test stood between another constant and its docstring.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding of store changes within an availability zone."""
 
+import math
 from dataclasses import dataclass
 
 import eventlet
@@ -61,7 +62,7 @@
         self._stalls = stalls
         self._validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
         self._stalled_before_s = 0.0
-        self._valid_from = None
+        self._valid_from = -math.inf
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
         transport.handle(MessageKind.STORE_CHANGES, self._handle_changes)
         # Sent by earlier releases, whose indexes have no era.
@@ -80,7 +81,7 @@
 
     def get_remaining_validity_s(self, now):
         """Return for how many more seconds applied messages replace a watch."""
-        if self._valid_from is None or self.is_watcher():
+        if self.is_watcher():
             return 0.0
         return max(0.0, self._valid_from + self._validity_s - now)
 
@@ -113,13 +114,11 @@
 
     def record_applied(self, forwarded):
         """Record that this instance is up to date with a :class:`ForwardedChanges`."""
-        if self._valid_from is None:
-            self._valid_from = forwarded.received_at
         self._valid_from = max(self._valid_from, forwarded.received_at)
 
     def record_missed(self):
         """Record that this instance lacks changes that a watcher forwarded."""
-        self._valid_from = None
+        self._valid_from = -math.inf
 
     def _handle_changes(self, body):
         sender, since, index, rows, since_recovery_s = body
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -18,6 +18,7 @@
     ServiceChecker,
 )
 from .._http import HttpServer, UpstreamPool
+from .._limits import BEAT_INTERVAL_S
 from .._placement import LoadTable
 from .._rate_limits import LimitBook, PermitSchedule
 from .._relay import RelayPeers
@@ -103,7 +104,7 @@
         self.crash_detector = CrashDetector(
             self.datagrams, self.store, self.view, name, read_clock
         )
-        self._stalls = StallMonitor(read_clock)
+        self._stalls = StallMonitor()
         self.change_forwarder = ChangeForwarder(
             self.datagrams,
             name,
@@ -217,7 +218,6 @@
             HttpServer(instance.metrics_address, self._respond_metrics, read_clock),
         ]
         for task in (
-            self._stalls.run,
             self.store_sync.run,
             self._announcer.run,
             self._rollout_controller.run,
@@ -225,7 +225,7 @@
             self.load_exchange.run,
             self.relay_exchange.run,
             self.crash_detector.run,
-            self.gateway.run_beats,
+            self._run_beats,
             self._clean_up,
             self._remove_expired,
         ):
@@ -321,6 +321,13 @@
         self.permit_exchange.forget_start(upstream.start)
         self.slot_exchange.forget(upstream.start)
 
+    def _run_beats(self):
+        while True:
+            now = read_clock()
+            self._stalls.record_beat(now)
+            self.gateway.record_beat(now)
+            eventlet.sleep(BEAT_INTERVAL_S)
+
     def _clean_up(self):
         while True:
             eventlet.sleep(CLEANUP_INTERVAL_S)
--- a/src/merlinnotch/_entry/stalls.py
+++ b/src/merlinnotch/_entry/stalls.py
@@ -1,8 +1,7 @@
 """Detection of times in which the process did not run."""
 
-import eventlet
+from .._limits import BEAT_INTERVAL_S
 
-BEAT_INTERVAL_S = 0.1
 MIN_STALL_S = 0.25
 """Shorter delays are those of a busy process, which reads messages soon after they
 arrive."""
@@ -14,19 +13,12 @@
     What it reads right after a stall may have waited in a buffer for as long.
     """
 
-    def __init__(self, read_clock):
-        self._read_clock = read_clock
+    def __init__(self):
         self._due_at = None
         self._total_s = 0.0
 
-    def run(self):
-        """Record beats until the process ends."""
-        while True:
-            self.record_beat(self._read_clock())
-            eventlet.sleep(BEAT_INTERVAL_S)
-
     def record_beat(self, now):
-        """Record that the process ran at *now*."""
+        """Record that the timer has fired; the next beat is due after the interval."""
         self._total_s += self.measure_current_s(now)
         self._due_at = now + BEAT_INTERVAL_S
 
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -16,7 +16,7 @@
 )
 from .._fleet import CallerLimits
 from .._http import CallerConnection, Listener
-from .._limits import BEAT_INTERVAL_S, ConnectionGate
+from .._limits import ConnectionGate
 from .blocking import find_block
 from .sources import CallerSource
 
@@ -104,11 +104,9 @@
                 error = find_block(call, self._view.blocked, now)
                 interrupter.interrupt(error)
 
-    def run_beats(self):
-        """Record how late this process runs its tasks, until it ends."""
-        while True:
-            self._gate.record_beat(self._read_clock())
-            eventlet.sleep(BEAT_INTERVAL_S)
+    def record_beat(self, now):
+        """Record that the timer has fired, which shows how late tasks are run."""
+        self._gate.record_beat(now)
 
     def _try_accept(self):
         if self._gate.try_accept():
--- a/tests/entry/test_stalls.py
+++ b/tests/entry/test_stalls.py
@@ -50,7 +50,7 @@
 
 @pytest.fixture
 def stalls(clock):
-    monitor = StallMonitor(clock)
+    monitor = StallMonitor()
     monitor.record_beat(clock.now)
     return monitor
 
--- a/tests/entry/test_stop_with_streams.py
+++ b/tests/entry/test_stop_with_streams.py
@@ -41,8 +41,8 @@
 BROKEN = 0
 GRACE_S = 30.0
 TIMEOUT_MS = 60000
-RETRY_WINDOW_S = 1.0
 """Longer than the grace period, so that new streams are refused near its end."""
+RETRY_WINDOW_S = 1.0
 SILENCE_S = 3.0
 """Longer than the limits on the wait for a response head and for the next event."""
 PATHS = {attempts: f"/attempts-{attempts}/" for attempts in (1, 2, 3)}
