Restored store: decode each entry once, take the time of the restore from the rollout

A restored store's items were decoded twice, also the configuration, of which only upstreams were asked. When the last restore was seen is now part of the rollout; the controller's own table of the same kept its time where another instance had written, so that after a second restore the takeover delay was skipped (conflicting writes only).

--- a/specs/mirror.py
+++ b/specs/mirror.py
@@ -106,11 +106,11 @@
 def _deliver(state, reply, remaining, mirror_type):
     """Return the state after *reply* is applied to its mirror."""
     kind, position, after_index, index = reply
-    mirror = _restore_mirror(state[position], mirror_type)
+    mirror = restore_mirror(state[position], mirror_type)
     if kind == "full":
-        mirror.replace(Listing(_make_items(HISTORY[index]), index))
+        mirror.replace(Listing(make_items(HISTORY[index]), index))
     elif kind == "part":
-        written = _make_items(i for i in HISTORY[index] if i[1] > after_index)
+        written = make_items(i for i in HISTORY[index] if i[1] > after_index)
         keys = tuple(key for key, _ in HISTORY[index])
         mirror.merge(MirrorUpdate(index, written, keys))
     elif after_index <= mirror.index:
@@ -121,20 +121,22 @@
     return (state[0], *mirrors, remaining)
 
 
-def _restore_mirror(contents, mirror_type):
+def restore_mirror(contents, mirror_type=Mirror):
+    """Return a mirror with *contents*, its index and (key, modify index) pairs."""
     index, items = contents
     mirror = mirror_type()
-    mirror.replace(Listing(_make_items(items), index))
+    mirror.replace(Listing(make_items(items), index))
     return mirror
 
 
 def _make_changes(after_index, index):
     """Return the changes after *after_index*, up to *index*."""
-    written = _make_items(i for i in HISTORY[index] if i[1] > after_index)
+    written = make_items(i for i in HISTORY[index] if i[1] > after_index)
     current_keys = {key for key, _ in HISTORY[index]}
     previous_keys = {key for items in HISTORY[after_index:index] for key, _ in items}
     return Changes(written, tuple(sorted(previous_keys - current_keys)), index)
 
 
-def _make_items(items):
+def make_items(items):
+    """Return the items of (key, modify index) pairs."""
     return tuple(Item(key, b"", modify_index) for key, modify_index in sorted(items))
--- a/specs/restored_store.py
+++ b/specs/restored_store.py
@@ -10,8 +10,10 @@
 
 from minicheck import Protocol
 
-from merlinnotch._fleet.mirror import Mirror, MirrorUpdate
-from merlinnotch._store import Changes, Item, Listing, build_index, get_era
+from merlinnotch._fleet.mirror import MirrorUpdate
+from merlinnotch._store import Changes, Listing, build_index, get_era
+
+from .mirror import make_items, restore_mirror
 
 COPY_REVISION = 1
 HISTORIES = (
@@ -118,8 +120,8 @@
 def _deliver(state, reply, remaining, make_index):
     """Return the state after *reply* is applied to its mirror."""
     kind, position, after_index, index, sender_items = reply
-    mirror = _restore_mirror(state[position])
-    items = _make_items(sender_items)
+    mirror = restore_mirror(state[position])
+    items = make_items(sender_items)
     written = tuple(item for item in items if item.modify_index > after_index)
     if kind == "full":
         mirror.replace(Listing(items, index))
@@ -136,14 +138,3 @@
     mirrors = [state[1], state[2]]
     mirrors[position - 1] = (mirror.index, contents)
     return (state[0], *mirrors, remaining)
-
-
-def _restore_mirror(contents):
-    index, items = contents
-    mirror = Mirror()
-    mirror.replace(Listing(_make_items(items), index))
-    return mirror
-
-
-def _make_items(items):
-    return tuple(Item(key, b"", modify_index) for key, modify_index in sorted(items))
--- a/src/merlinnotch/_entry/rollout_controller.py
+++ b/src/merlinnotch/_entry/rollout_controller.py
@@ -72,7 +72,6 @@
         self._order_indexes = {}
         self._coverages = {}
         self._rejected_at = {}
-        self._lacking_since = {}
 
     def run(self):
         """Reconcile active rollouts until the process ends."""
@@ -102,10 +101,8 @@
 
     def _write_again(self, service, rollout, now):
         """Write a final state that a restored store lacks, after the takeover delay."""
-        lacking_since = self._lacking_since.setdefault(service, now)
-        if now - lacking_since >= self._compute_takeover_delay(service):
+        if now - rollout.restored_at >= self._compute_takeover_delay(service):
             self._write_state(service, rollout, rollout.decided_state)
-            del self._lacking_since[service]
 
     def _reconcile(self, service, rollout, now):
         if self._order_indexes.get(service) != rollout.order.index:
--- a/src/merlinnotch/_fleet/service_rollout.py
+++ b/src/merlinnotch/_fleet/service_rollout.py
@@ -13,8 +13,8 @@
 
     The order was *order_age_at_seen_s* seconds old at *seen_at* on the local clock, by
     the greatest age reported so far. *bad_versions* were reverted and have not
-    been ordered again since. *decided_state* is the final state of the order that a
-    restored store may lack.
+    been ordered again since. *decided_state* is the final state of the order that the
+    store may lack since it was restored at *restored_at*.
     """
 
     order: RolloutOrder | None = None
@@ -24,6 +24,7 @@
     order_age_at_seen_s: float = 0.0
     bad_versions: set[str] = field(default_factory=set)
     decided_state: RolloutState | None = None
+    restored_at: float = 0.0
 
     @property
     def state(self):
@@ -86,8 +87,9 @@
             if entry.state is RolloutState.REVERTED:
                 self.bad_versions.add(entry.target)
 
-    def handle_restore(self):
-        """Keep what was decided, as the store was restored from a copy."""
+    def handle_restore(self, now):
+        """Keep what was decided, as a restore of the store was seen at *now*."""
+        self.restored_at = now
         if self.state in (RolloutState.COMPLETE, RolloutState.REVERTED):
             self.decided_state = self.state
 
--- a/src/merlinnotch/_fleet/view.py
+++ b/src/merlinnotch/_fleet/view.py
@@ -102,12 +102,12 @@
         ignored.
         """
         for rollout in self._rollouts.values():
-            rollout.handle_restore()
+            rollout.handle_restore(now)
         for key_change in key_changes:
             if key_change.item is None:
                 self._apply_loss(key_change.key, now)
-            elif not self._is_superseded(key_change.item, now):
-                self._apply_item(key_change.item, now)
+            else:
+                self._apply_item(key_change.item, now, is_copy=True)
 
     def list_upstreams(self, service):
         """Return the upstreams of *service* that may get new work by the store."""
@@ -242,12 +242,8 @@
         services = self.configuration.services
         return any(self._upstreams.get(service) for service in services)
 
-    def _is_superseded(self, item, now):
-        """Return whether an item of a restored store is older than what is known."""
-        try:
-            entry = self._decode(item.key, item.value, item.modify_index)
-        except (ConfigurationInvalid, ValueError):
-            return False
+    def _is_superseded(self, item, entry, now):
+        """Return whether an entry of a restored store is older than what is known."""
         if not isinstance(entry, Upstream):
             return False
         current = self._entries.get(item.key)
@@ -268,7 +264,7 @@
         else:
             self._apply_deletion(key, now, store_restored_at=now)
 
-    def _apply_item(self, item, now):
+    def _apply_item(self, item, now, is_copy=False):
         self._superseded.forget(item.key)
         self._lost_until.pop(item.key, None)
         try:
@@ -279,7 +275,7 @@
             logger.error("invalid store entry rejected", extra=fields)
             self._discard_invalid_entry(item.key)
             return
-        if entry is None:
+        if entry is None or (is_copy and self._is_superseded(item, entry, now)):
             return
         if isinstance(entry, Upstream):
             if not self._update_upstream(item.key, entry, now):
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -7,6 +7,7 @@
 from merlinnotch._fleet import view as view_module
 from merlinnotch._store import get_revision
 from tests.platform_world import (
+    PLAIN_PATH,
     PORTS,
     Caller,
     make_configuration,
@@ -14,7 +15,6 @@
 )
 
 NAMES = ("one", "two", "three", "four", "five")
-PLAIN_PATH = "/plain/"
 IN_TIME_S = 2.0
 
 
@@ -38,6 +38,20 @@
     world.store.restore(store_copy)
 
 
+def wait_for_copy(world, one):
+    """Wait until *one* has read the restored store."""
+    world.store.put("op/other", {})
+    wait_until(lambda: one.mirror.items.get("op/other"))
+
+
+def evacuate_since_copy(world, one):
+    """Evacuate zone-a; return a copy of the store from before."""
+    store_copy = world.store.take_copy()
+    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
+    wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
+    return store_copy
+
+
 def test_configuration_that_is_written_after_a_restore_takes_effect(world):
     world.add_upstream("i-1")
     one = world.add_instance()
@@ -105,8 +119,7 @@
     world.configure(tenants=[{"name": "other", "api-keys": ["other"]}])
     wait_until(lambda: get_version(one) == 2)
     world.store.restore(store_copy)
-    world.store.put("op/other", {})
-    wait_until(lambda: one.mirror.items.get("op/other"))
+    wait_for_copy(world, one)
     assert get_version(one) == 2
     assert Caller(one).send(PLAIN_PATH).status == 401
     world.store.put("op/config", make_configuration(3))
@@ -125,8 +138,7 @@
         world.store.delete("servers/i-1")
     wait_until(lambda: list_ids(one) == {"i-2"})
     world.store.restore(store_copy)
-    world.store.put("op/other", {})
-    wait_until(lambda: one.mirror.items.get("op/other"))
+    wait_for_copy(world, one)
     assert list_ids(one) == {"i-2"}
 
 
@@ -149,8 +161,7 @@
     second = world.add_upstream("i-2")
     wait_until(lambda: list_ids(one) == {"i-1", "i-2"})
     world.store.restore(store_copy)
-    world.store.put("op/other", {})
-    wait_until(lambda: one.mirror.items.get("op/other"))
+    wait_for_copy(world, one)
     assert list_ids(one) == {"i-1", "i-2"}
     world.list_upstream("i-2", "app", second.address, seq=1)
     eventlet.sleep(2.5)
@@ -174,8 +185,7 @@
     wait_until(lambda: len(one.view.list_present_peers()) == 2)
     two.store.set_address(PORTS.pick("127.0.0.1"))
     world.store.restore(store_copy)
-    world.store.put("op/other", {})
-    wait_until(lambda: one.mirror.items.get("op/other"))
+    wait_for_copy(world, one)
     assert len(one.view.list_present_peers()) == 2
 
 
@@ -195,12 +205,8 @@
 def test_evacuation_that_is_lost_applies_until_it_is_written_again(world):
     world.add_upstream("i-1")
     one = world.add_instance()
-    store_copy = world.store.take_copy()
-    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
-    wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
-    world.store.restore(store_copy)
-    world.store.put("op/other", {})
-    wait_until(lambda: one.mirror.items.get("op/other"))
+    world.store.restore(evacuate_since_copy(world, one))
+    wait_for_copy(world, one)
     assert one.view.is_zone_evacuated("zone-a")
     world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
     eventlet.sleep(2.5)
@@ -211,10 +217,7 @@
     monkeypatch.setattr(view_module, "LOST_ENTRY_GRACE_S", 0.5)
     world.add_upstream("i-1")
     one = world.add_instance()
-    store_copy = world.store.take_copy()
-    world.store.put("op/evacuate/zone-a", {"zone": "zone-a"})
-    wait_until(lambda: one.view.is_zone_evacuated("zone-a"))
-    world.store.restore(store_copy)
+    world.store.restore(evacuate_since_copy(world, one))
     wait_until(lambda: not one.view.is_zone_evacuated("zone-a"))
 
 
--- a/tests/fleet/test_restored_rollout.py
+++ b/tests/fleet/test_restored_rollout.py
@@ -37,7 +37,7 @@
 def test_final_state_holds_where_the_copy_lacks_it(rollout, state, order):
     status = make_status(state, 1, 14)
     rollout.update(status, NOW)
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.lose(status)
     rollout.update(order, LATER)
     assert rollout.state is state
@@ -48,7 +48,7 @@
 
 def test_final_state_holds_where_the_copy_has_an_earlier_one(rollout):
     rollout.update(make_status(RolloutState.COMPLETE, 1, 14), NOW)
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(SURVIVING, LATER)
     rollout.update(make_status(RolloutState.ACTIVE, 2, 11), LATER)
     assert rollout.state is RolloutState.COMPLETE
@@ -58,21 +58,21 @@
 @pytest.mark.parametrize("order", [SURVIVING, REWRITTEN])
 def test_rejected_version_stays_rejected(rollout, order):
     rollout.bad_versions.add("v2")
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(order, LATER)
     assert "v2" in rollout.bad_versions
 
 
 @pytest.mark.parametrize("order", [SURVIVING, REWRITTEN])
 def test_age_of_the_order_goes_on(rollout, order):
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(order, LATER)
     assert rollout.get_order_age_s(LATER) == pytest.approx(15.0)
 
 
 def test_stage_that_the_copy_lacks_goes_on_and_can_be_written(rollout):
     stage = rollout.stage
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.lose(stage)
     rollout.update(SURVIVING, LATER)
     assert rollout.current_stage.share == 0.5
@@ -80,7 +80,7 @@
 
 
 def test_stage_does_not_go_back_to_that_of_the_copy(rollout):
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(SURVIVING, LATER)
     earlier = make_stage(1, 0.1, 2, 11)
     rollout.update(earlier, LATER)
@@ -90,21 +90,21 @@
 
 def test_another_order_begins_anew(rollout):
     rollout.update(make_status(RolloutState.REVERTED, 1, 14), NOW)
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(dataclasses.replace(REWRITTEN, target="v3"), LATER)
     assert rollout.state is RolloutState.ACTIVE
     assert rollout.get_order_age_s(LATER) == 0.0
 
 
 def test_another_order_of_the_same_revision_has_no_stage(rollout):
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(dataclasses.replace(SURVIVING, target="v3"), LATER)
     assert rollout.current_stage is None
 
 
 def test_order_that_is_repeated_later_begins_anew(rollout):
     rollout.update(make_status(RolloutState.REVERTED, 1, 14), NOW)
-    rollout.handle_restore()
+    rollout.handle_restore(LATER)
     rollout.update(SURVIVING, LATER)
     rollout.update(dataclasses.replace(SURVIVING, index=30), LATER)
     assert rollout.state is RolloutState.ACTIVE
