Sight: what the link carries, bytes of callers' requests, how long a request took to arrive

A full link shows as merlinnotch_link_bytes_total near half of merlinnotch_link_capacity_bytes (each byte crosses twice) and as read_ms of request ended, while no task is late. The settings name the link's rate.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -41,6 +41,16 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.link_bytes = Counter(
+            "merlinnotch_link_bytes",
+            "Bytes of requests from callers and of responses to them",
+            registry=self.registry,
+        )
+        self.link_capacity = Gauge(
+            "merlinnotch_link_capacity_bytes",
+            "Bytes a second that the network link carries, 0 if unknown",
+            registry=self.registry,
+        )
         self.version = Gauge(
             "merlinnotch_configuration_version",
             "Version of the configuration in force",
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -72,6 +72,7 @@
         self._generator = generator
         self._caller_socket = caller_socket
         self.metrics = EntryMetrics()
+        self.metrics.link_capacity.set(settings.link.bytes_per_s)
         self.mirror = Mirror()
         self.pool = UpstreamPool(read_clock)
         # Peers check the address that relayed requests come from.
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -86,6 +86,20 @@
     grace_s: Seconds
 
 
+class LinkSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Network link of the instance.
+
+    It carries *mbps* million bits per second in each direction; 0 means unknown.
+    """
+
+    mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+    @property
+    def bytes_per_s(self):
+        """Bytes per second that the link carries in each direction, 0 if unknown."""
+        return self.mbps * 1e6 / 8
+
+
 class CascadeTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Value of 1,000 answer tokens, in the unit of the models' costs."""
 
@@ -109,6 +123,7 @@
     cascade: CascadeTable = CascadeTable()
     warm_up: WarmUpSettings = WarmUpSettings()
     logs: LogSettings = LogSettings()
+    link: LinkSettings = LinkSettings()
 
 
 def load_entry_settings(path):
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -125,7 +125,9 @@
             eventlet.sleep(READY_POLL_INTERVAL_S)
 
     def _serve(self, sock):
-        connection = CallerConnection(sock, self._read_clock, WRITE_TIMEOUT_S)
+        connection = CallerConnection(
+            sock, self._read_clock, WRITE_TIMEOUT_S, self._metrics.link_bytes.inc
+        )
         try:
             while self._serve_one(connection):
                 pass
@@ -214,7 +216,11 @@
             self._metrics.requests.labels(outcome).inc()
             self._metrics.request_time.observe(seconds)
         fields = _build_log_fields(request, call)
-        fields |= {"outcome": outcome, "ms": round(seconds * 1000.0, 1)}
+        fields |= {
+            "read_ms": _compute_elapsed_ms(request.received_at, request.completed_at),
+            "outcome": outcome,
+            "ms": round(seconds * 1000.0, 1),
+        }
         if error is not None:
             fields |= {"detail": error.detail, "run": str(error.outcome)}
         logger.info("request ended", extra=fields)
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -26,7 +26,7 @@
     """A complete request as the caller sent it.
 
     *target* is the unmodified path with its query. *received_at* is the time at which
-    the first bytes of the request were available.
+    the first bytes of the request were available, *completed_at* that of the last ones.
     """
 
     method: str
@@ -34,6 +34,7 @@
     fields: Fields
     body: bytes
     received_at: float
+    completed_at: float
 
     @property
     def host(self):
@@ -45,13 +46,15 @@
     """Reads requests one after the other and writes their responses.
 
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
-    *is_idle* is set while nothing of the next request has arrived.
+    *on_bytes* is called with the size of each block that is read or written. *is_idle*
+    is set while nothing of the next request has arrived.
     """
 
-    def __init__(self, sock, read_clock, write_timeout_s):
+    def __init__(self, sock, read_clock, write_timeout_s, on_bytes=lambda size: None):
         self._sock = sock
         self._read_clock = read_clock
         self._write_timeout_s = write_timeout_s
+        self._on_bytes = on_bytes
         self._buffer = b""
         self._protocol = None
         self._disconnect_watcher = None
@@ -91,7 +94,12 @@
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body(limits)
         return CallerRequest(
-            event.method.decode("ascii"), target, fields, body, received_at
+            event.method.decode("ascii"),
+            target,
+            fields,
+            body,
+            received_at,
+            self._read_clock(),
         )
 
     def watch_disconnect(self, on_disconnect):
@@ -122,6 +130,7 @@
 
     def write(self, data):
         """Send encoded bytes; raises :class:`CallerDisconnected` if this fails."""
+        self._on_bytes(len(data))
         try:
             send(self._sock, data, self._write_timeout_s)
         except ConnectionBroken as error:
@@ -200,7 +209,9 @@
             raise MalformedMessage(str(error)) from error
 
     def _receive(self, timeout_s):
-        return receive(self._sock, timeout_s)
+        data = receive(self._sock, timeout_s)
+        self._on_bytes(len(data))
+        return data
 
     def _receive_more(self, timeout_s):
         data = self._receive(timeout_s)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -8,6 +8,7 @@
 from merlinnotch._entry.settings import (
     EntrySettings,
     InstanceSettings,
+    LinkSettings,
     RetrySettings,
     RolloutSettings,
     ShutdownSettings,
@@ -69,17 +70,18 @@
         }
         self.store.put(f"servers/{upstream_id}", entry | changes)
 
-    def add_instance(self, name="one", watch_s=0.2, grace_s=2.0, in_force_ms=2000):
+    def add_instance(self, name="one", **changes):
         """Start an instance, wait until it is ready and return its process."""
-        process = self.start_instance(name, watch_s, grace_s, in_force_ms)
+        process = self.start_instance(name, **changes)
         wait_until(lambda: process.view.is_ready)
         return process
 
-    def start_instance(self, name="one", watch_s=0.2, grace_s=2.0, in_force_ms=2000):
-        """Start an instance and return its process, which may not be ready yet."""
-        settings = make_settings(
-            self.store.address, name, watch_s, grace_s, in_force_ms
-        )
+    def start_instance(self, name="one", **changes):
+        """Start an instance and return its process, which may not be ready yet.
+
+        *changes* are arguments of :func:`make_settings`.
+        """
+        settings = make_settings(self.store.address, name, **changes)
         process = EntryProcess(settings, started_at=read_clock() - LONG_AGO_S)
         process.start()
         self.instances.append(process)
@@ -94,7 +96,9 @@
         self.store.close()
 
 
-def make_settings(store_address, name, watch_s, grace_s, in_force_ms=2000):
+def make_settings(
+    store_address, name, watch_s=0.2, grace_s=2.0, in_force_ms=2000, link_mbps=0.0
+):
     """Return the settings of an instance on free ports of the loopback interface.
 
     *in_force_ms* is the limit for both configurations and draining upstreams.
@@ -106,6 +110,7 @@
         retries=RetrySettings(0.9, 56, 10.0),
         rollouts=RolloutSettings(0.15),
         shutdown=ShutdownSettings(grace_s),
+        link=LinkSettings(link_mbps),
     )
 
 
