--- a/tests/gateway/linked_crowd.py
+++ b/tests/gateway/linked_crowd.py
@@ -88,6 +88,7 @@
         rate, body_bytes, duration_s = line.split()
         results = crowd.play(float(rate), int(body_bytes), float(duration_s))
         results["inbound_queue_ms"] = int(crowd.link.inbound.queue_s * 1000.0)
+        results["outbound_queue_ms"] = int(crowd.link.outbound.queue_s * 1000.0)
         print(json.dumps(results), flush=True)
 
 
--- /dev/null
+++ b/tests/gateway/test_full_link.py
@@ -0,0 +1,91 @@
+"""More new connections than an instance's network link carries.
+
+The processor has time to spare. Callers whose connections are refused or closed unread
+meet other instances.
+"""
+
+import json
+import sys
+
+import pytest
+from eventlet.green import subprocess
+
+from tests.platform_world import wait_until
+
+LINK_MBPS = 10.0
+LINK_BYTES_PER_S = LINK_MBPS * 1e6 / 8
+WARM_UP_S = 2.0
+DURATION_S = 4.0
+MIN_SERVED_SHARE = 0.95
+"""Least share of the requests that were read which are served."""
+MIN_GOODPUT_SHARE = 0.9
+"""Least goodput beyond what the link carries, as a share of that at its capacity."""
+RECOVERY_S = 2.0
+BODY_BYTES = 12000
+CAPACITY = 90
+"""Requests a second with such bodies, in and out again, that the link carries."""
+
+
+class LinkedCrowd:
+    """A process with callers and an upstream behind the link of *instance*."""
+
+    def __init__(self, instance):
+        address = instance.settings.instance.caller_address
+        self._process = subprocess.Popen(
+            [sys.executable, "-W", "ignore", "-m", "tests.gateway.linked_crowd"]
+            + [address, str(LINK_BYTES_PER_S)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.upstream_address = self._read_line()
+
+    def play(self, rate, body_bytes=BODY_BYTES, duration_s=DURATION_S):
+        """Return the number of each result of *rate* new connections a second."""
+        self._process.stdin.write(f"{rate} {body_bytes} {duration_s}\n".encode())
+        self._process.stdin.flush()
+        return json.loads(self._read_line())
+
+    def close(self):
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+
+    def _read_line(self):
+        return self._process.stdout.readline().decode().strip()
+
+
+@pytest.fixture
+def crowd(world):
+    instance = world.start_instance(link_mbps=LINK_MBPS)
+    crowd = LinkedCrowd(instance)
+    world.list_upstream("i-1", "app", crowd.upstream_address, slots=1000)
+    wait_until(lambda: instance.view.is_ready)
+    yield crowd
+    crowd.close()
+
+
+def count_read(results):
+    """Return how many requests were read; the rest met another instance."""
+    return sum(results.get(name, 0) for name in ("served", "late", "refused"))
+
+
+@pytest.mark.parametrize("load", [1.5, 2.5])
+def test_requests_that_are_read_over_a_full_link_are_served(crowd, load):
+    at_capacity = crowd.play(CAPACITY)
+    crowd.play(load * CAPACITY, duration_s=WARM_UP_S)
+    results = crowd.play(load * CAPACITY)
+    assert results.get("served", 0) >= MIN_SERVED_SHARE * count_read(results) > 0
+    assert results["served"] >= MIN_GOODPUT_SHARE * at_capacity["served"]
+
+
+def test_link_that_was_full_serves_all_two_seconds_later(crowd):
+    crowd.play(2.5 * CAPACITY)
+    crowd.play(0.5 * CAPACITY, duration_s=RECOVERY_S)
+    results = crowd.play(0.5 * CAPACITY)
+    assert results.get("served", 0) >= MIN_SERVED_SHARE * 0.5 * CAPACITY * DURATION_S
+
+
+def test_small_requests_over_a_full_link_are_served(crowd):
+    load = crowd.play(400, body_bytes=1500, duration_s=WARM_UP_S)
+    load = crowd.play(400, body_bytes=1500)
+    assert load.get("served", 0) >= MIN_SERVED_SHARE * count_read(load) > 0
