Accept only as many new connections as the network link carries

Callers saw 504 or nothing for requests that had been read, while most new connections came to one instance and its processor had time to spare.

Cause: what is accepted was bounded by how late the process runs its tasks. A full link makes no task late, so that all connections were accepted and all bodies arrived slowly together.

--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -43,10 +43,12 @@
     """UDP socket that dispatches received messages by kind.
 
     Messages are not acknowledged; senders have to tolerate loss. A handler gets the
-    decoded body and raises ValueError or TypeError if it is invalid.
+    decoded body and raises ValueError or TypeError if it is invalid. *record_bytes* is
+    called with the size of each datagram that is sent.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, record_bytes=lambda size: None):
+        self._record_bytes = record_bytes
         host, _, port = address.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, int(port)))
@@ -68,6 +70,7 @@
     def send_bytes(self, data, address):
         """Send one datagram; errors are only logged."""
         host, _, port = address.rpartition(":")
+        self._record_bytes(len(data))
         try:
             self._socket.sendto(data, (host, int(port)))
         except OSError as error:
--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -12,6 +12,11 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests by outcome", "outcome")
         self.refusals = self._counter("refusals", "Refusals by error kind", "kind")
+        self.closed_connections = self._counter(
+            "closed_connections",
+            "New connections closed unread, by what is overloaded",
+            "reason",
+        )
         self.retries = self._counter(
             "retries", "Sends that failed, by reason", "reason"
         )
--- a/src/merlinnotch/_entry/peer_server.py
+++ b/src/merlinnotch/_entry/peer_server.py
@@ -15,9 +15,13 @@
     *relay_endpoint* is a :class:`RelayEndpoint`.
     """
 
-    def __init__(self, address, state_endpoint, relay_endpoint, read_clock):
+    def __init__(
+        self, address, state_endpoint, relay_endpoint, read_clock, record_bytes
+    ):
         self._relay_endpoint = relay_endpoint
-        super().__init__(address, state_endpoint.respond, read_clock, LIMITS)
+        super().__init__(
+            address, state_endpoint.respond, read_clock, LIMITS, record_bytes
+        )
 
     def answer(self, request, connection, remote_host):
         if request.fields.get(RELAY_FIELD) is None:
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -18,7 +18,7 @@
     ServiceChecker,
 )
 from .._http import HttpServer, UpstreamPool
-from .._limits import BEAT_INTERVAL_S
+from .._limits import BEAT_INTERVAL_S, LinkBudget, measure_wire_bytes
 from .._placement import LoadTable
 from .._rate_limits import LimitBook, PermitSchedule
 from .._relay import RelayPeers
@@ -93,7 +93,10 @@
         name = settings.instance.name
         self._peer_client = PeerClient(name, self.view, read_clock, self.metrics)
         instance = settings.instance
-        self.datagrams = DatagramTransport(instance.peer_address)
+        self._link_budget = LinkBudget(settings.link.bytes_per_s)
+        self.datagrams = DatagramTransport(
+            instance.peer_address, self._record_peer_bytes
+        )
         self.load_exchange = LoadExchange(
             self.datagrams,
             name,
@@ -205,7 +208,11 @@
             self._started_at,
         )
         self.gateway = Gateway(
-            instance.caller_address, Forwarder(parts), parts, sock=self._caller_socket
+            instance.caller_address,
+            Forwarder(parts),
+            parts,
+            self._link_budget,
+            sock=self._caller_socket,
         )
         self.view.blocked.on_added = self.gateway.end_blocked_requests
         relay_endpoint = RelayEndpoint(self.gateway, self.view, self.metrics)
@@ -214,7 +221,11 @@
         self._servers = [
             HttpServer(instance.ready_address, self.respond_ready, read_clock),
             PeerServer(
-                instance.peer_address, state_endpoint, relay_endpoint, read_clock
+                instance.peer_address,
+                state_endpoint,
+                relay_endpoint,
+                read_clock,
+                self._record_peer_bytes,
             ),
             HttpServer(instance.metrics_address, self._respond_metrics, read_clock),
         ]
@@ -304,6 +315,9 @@
         if update.slowdown is not None:
             load.set_slowdown(update.slowdown, now)
 
+    def _record_peer_bytes(self, size):
+        self._link_budget.charge(measure_wire_bytes(size))
+
     def _drop_upstream(self, upstream):
         self.crash_detector.record_removed(upstream)
         self.pool.close_start(upstream.start)
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -16,7 +16,7 @@
 )
 from .._fleet import CallerLimits
 from .._http import CallerConnection, Listener
-from .._limits import ConnectionGate
+from .._limits import ConnectionGate, ConnectionTraffic
 from .blocking import find_block
 from .sources import CallerSource
 
@@ -37,10 +37,14 @@
 class Gateway:
     """Serves callers on *address*, forwarding requests with *forwarder*.
 
-    *sock* is a listening socket to use instead of opening *address*.
+    *link_budget* is the :class:`LinkBudget` of the instance. *sock* is a listening
+    socket to use instead of opening *address*.
     """
 
-    def __init__(self, address, forwarder, parts, generator=random, sock=None):
+    def __init__(
+        self, address, forwarder, parts, link_budget, generator=random, sock=None
+    ):
+        self._link_budget = link_budget
         self._forwarder = forwarder
         self._caller_source = CallerSource()
         self._view = parts.view
@@ -109,14 +113,24 @@
         self._gate.record_beat(now)
 
     def _try_accept(self):
-        if self._gate.try_accept():
-            return True
-        self._metrics.refusals.labels("connection").inc()
         now = self._read_clock()
+        if not self._link_budget.has_room(now):
+            self._record_closed("link", now)
+            return False
+        if not self._gate.try_accept():
+            self._record_closed("processor", now)
+            return False
+        self._link_budget.admit(now)
+        return True
+
+    def _record_closed(self, reason, now):
+        """Record a connection closed unread; *reason* is what is overloaded."""
+        self._metrics.refusals.labels("connection").inc()
+        self._metrics.closed_connections.labels(reason).inc()
         if now - self._last_closed_at > OVERLOAD_LOG_PAUSE_S:
-            logger.warning("overloaded; closing new connections unread")
+            fields = {"reason": reason}
+            logger.warning("overloaded; closing new connections unread", extra=fields)
         self._last_closed_at = now
-        return False
 
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
@@ -125,12 +139,18 @@
             eventlet.sleep(READY_POLL_INTERVAL_S)
 
     def _serve(self, sock):
+        traffic = ConnectionTraffic(self._link_budget)
+
+        def record_bytes(size):
+            self._metrics.link_bytes.inc(size)
+            traffic.record(size)
+
         connection = CallerConnection(
-            sock, self._read_clock, WRITE_TIMEOUT_S, self._metrics.link_bytes.inc
+            sock, self._read_clock, WRITE_TIMEOUT_S, record_bytes
         )
         try:
             while self._serve_one(connection):
-                pass
+                traffic.finish_request()
         except MalformedMessage as error:
             self._metrics.refusals.labels("malformed").inc()
             logger.info("malformed request", extra={"detail": str(error)})
@@ -140,6 +160,7 @@
         finally:
             self._waiting_connections.discard(connection)
             connection.close()
+            traffic.finish_request()
 
     def _serve_one(self, connection):
         configuration = self._view.configuration
@@ -165,6 +186,11 @@
         finally:
             self.in_flight -= 1
 
+    def _record_resent(self, request, call, connection):
+        """Count the bytes of a request that was sent to several upstreams."""
+        if call is not None and call.send_count > 1:
+            connection.record_bytes((call.send_count - 1) * len(request.body))
+
     def _answer(self, request, connection, source):
         call = None
         if self.is_shutting_down:
@@ -187,6 +213,8 @@
             outcome = Outcome.UNKNOWN
             error = RequestRefused(ErrorKind.INTERNAL, outcome=outcome)
             self._refuse(request, call, connection, error, source)
+        finally:
+            self._record_resent(request, call, connection)
 
     def _check_shutdown(self, call):
         if self._shutdown_at is None:
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -46,15 +46,17 @@
     """Reads requests one after the other and writes their responses.
 
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
-    *on_bytes* is called with the size of each block that is read or written. *is_idle*
-    is set while nothing of the next request has arrived.
+    *record_bytes* is called with the size of each block that is read or written.
+    *is_idle* is set while nothing of the next request has arrived.
     """
 
-    def __init__(self, sock, read_clock, write_timeout_s, on_bytes=lambda size: None):
+    def __init__(
+        self, sock, read_clock, write_timeout_s, record_bytes=lambda size: None
+    ):
         self._sock = sock
         self._read_clock = read_clock
         self._write_timeout_s = write_timeout_s
-        self._on_bytes = on_bytes
+        self.record_bytes = record_bytes
         self._buffer = b""
         self._protocol = None
         self._disconnect_watcher = None
@@ -130,7 +132,7 @@
 
     def write(self, data):
         """Send encoded bytes; raises :class:`CallerDisconnected` if this fails."""
-        self._on_bytes(len(data))
+        self.record_bytes(len(data))
         try:
             send(self._sock, data, self._write_timeout_s)
         except ConnectionBroken as error:
@@ -210,7 +212,7 @@
 
     def _receive(self, timeout_s):
         data = receive(self._sock, timeout_s)
-        self._on_bytes(len(data))
+        self.record_bytes(len(data))
         return data
 
     def _receive_more(self, timeout_s):
--- a/src/merlinnotch/_http/server.py
+++ b/src/merlinnotch/_http/server.py
@@ -23,10 +23,19 @@
 class HttpServer:
     """Serves *respond*, which returns status, header pairs and body for a request.
 
-    *limits* are the :class:`RequestLimits`.
+    *limits* are the :class:`RequestLimits`. *record_bytes* is called with the size of
+    each block that is read or written.
     """
 
-    def __init__(self, address, respond, read_clock, limits=None):
+    def __init__(
+        self,
+        address,
+        respond,
+        read_clock,
+        limits=None,
+        record_bytes=lambda size: None,
+    ):
+        self._record_bytes = record_bytes
         self._respond = respond
         self._read_clock = read_clock
         self._limits = limits or RequestLimits()
@@ -38,7 +47,9 @@
         self._listener.close()
 
     def _serve(self, sock):
-        connection = CallerConnection(sock, self._read_clock, WRITE_TIMEOUT_S)
+        connection = CallerConnection(
+            sock, self._read_clock, WRITE_TIMEOUT_S, self._record_bytes
+        )
         try:
             remote_host = sock.getpeername()[0]
             while self._serve_one(connection, remote_host):
