Refuse new connections while overloaded instead of accepting and resetting them

Callers saw late answers for what had been read although the instance closed all that its link couldn't carry.

Cause: a connection that is reset has been accepted by the kernel before, and its caller has sent the first window by then. What was closed took as much of the link as what was served, so that at 2.5 times its capacity the link was full of requests nobody read, also for seconds after.

The listener is closed while there is no room, and opened again by a beat. What the kernel had accepted by then is decided on one by one: read in a short burst, as its request is on the way, reset beyond, charged to the link in both cases. The processor's window uses the same pause, so that what it turns away costs it nothing either.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -12,9 +12,9 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests by outcome", "outcome")
         self.refusals = self._counter("refusals", "Refusals by error kind", "kind")
-        self.closed_connections = self._counter(
-            "closed_connections",
-            "New connections closed unread, by what is overloaded",
+        self.accept_pauses = self._counter(
+            "accept_pauses",
+            "Times that new connections were refused, by what is overloaded",
             "reason",
         )
         self.retries = self._counter(
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -29,7 +29,7 @@
 """Limit on how long callers of a new process wait for the first reply of the store."""
 READY_POLL_INTERVAL_S = 0.01
 OVERLOAD_LOG_PAUSE_S = 10.0
-"""An overload is logged if no connection was closed unread for this long before."""
+"""An overload is logged if no connections were refused for this long before."""
 WRITE_TIMEOUT_S = 10.0
 """A connection is closed if the caller accepts no bytes for this long."""
 
@@ -57,7 +57,7 @@
         self._shutdown_at = None
         self.in_flight = 0
         self._gate = ConnectionGate()
-        self._last_closed_at = -math.inf
+        self._last_paused_at = -math.inf
         self._listener = Listener(
             address, self._serve, sock, self._wait_until_ready, self._try_accept
         )
@@ -111,26 +111,34 @@
     def record_beat(self, now):
         """Record that the timer has fired, which shows how late tasks are run."""
         self._gate.record_beat(now)
+        if self._listener.is_paused and self._find_overload(now) is None:
+            self._listener.resume()
 
     def _try_accept(self):
         now = self._read_clock()
+        is_accepted = self._link_budget.try_admit(now) and self._gate.has_room
+        if is_accepted:
+            self._gate.admit()
+        else:
+            self._metrics.refusals.labels("connection").inc()
+        overload = self._find_overload(now)
+        if overload is not None:
+            self._listener.pause()
+            self._record_pause(overload, now)
+        return is_accepted
+
+    def _find_overload(self, now):
+        """Return what leaves no room for further connections, or None."""
         if not self._link_budget.has_room(now):
-            self._record_closed("link", now)
-            return False
-        if not self._gate.try_accept():
-            self._record_closed("processor", now)
-            return False
-        self._link_budget.admit(now)
-        return True
-
-    def _record_closed(self, reason, now):
-        """Record a connection closed unread; *reason* is what is overloaded."""
-        self._metrics.refusals.labels("connection").inc()
-        self._metrics.closed_connections.labels(reason).inc()
-        if now - self._last_closed_at > OVERLOAD_LOG_PAUSE_S:
+            return "link"
+        return None if self._gate.has_room else "processor"
+
+    def _record_pause(self, reason, now):
+        self._metrics.accept_pauses.labels(reason).inc()
+        if now - self._last_paused_at > OVERLOAD_LOG_PAUSE_S:
             fields = {"reason": reason}
-            logger.warning("overloaded; closing new connections unread", extra=fields)
-        self._last_closed_at = now
+            logger.warning("overloaded; refusing new connections", extra=fields)
+        self._last_paused_at = now
 
     def _wait_until_ready(self):
         """Delay accepting until the fleet state is loaded, or until a timeout."""
--- a/src/merlinnotch/_http/listener.py
+++ b/src/merlinnotch/_http/listener.py
@@ -18,6 +18,10 @@
     *sock* is a listening socket to use instead of opening *address*. *prepare* is
     called once, before the first connection is accepted. Connections for which
     *try_accept* returns false are reset before anything is read.
+
+    By then the kernel has accepted them and their callers have sent requests. Between
+    :meth:`pause` and :meth:`resume` the kernel refuses new connections, which costs one
+    packet each.
     """
 
     def __init__(
@@ -34,16 +38,46 @@
         host, port = self._socket.getsockname()
         self.address = f"{host}:{port}"
         self._serve = serve
-        self._accept_thread = eventlet.spawn(self._accept)
+        self._is_closed = False
+        self._is_pausing = False
+        self._accept_thread = eventlet.spawn(self._accept_first)
 
     def close(self):
         """Stop accepting; open connections stay open."""
+        self._is_closed = True
         self._accept_thread.kill()
-        close_quietly(self._socket)
+        self._close_socket()
 
-    def _accept(self):
+    @property
+    def is_paused(self):
+        """Whether new connections are refused until :meth:`resume`."""
+        return self._socket is None and not self._is_closed
+
+    def pause(self):
+        """Refuse new connections; called by *try_accept*.
+
+        Those that the kernel has accepted by now are still decided on.
+        """
+        self._is_pausing = True
+
+    def resume(self):
+        """Accept connections again after a pause."""
+        if not self.is_paused:
+            return
+        try:
+            self._socket = listen(self.address)
+        except OSError as error:
+            logger.warning("listen failed", extra={"reason": str(error)})
+            return
+        self._is_pausing = False
+        self._accept_thread = eventlet.spawn(self._accept)
+
+    def _accept_first(self):
         self._prepare()
-        while True:
+        self._accept()
+
+    def _accept(self):
+        while not self._is_pausing:
             try:
                 sock, _ = self._socket.accept()
             except OSError as error:
@@ -51,11 +85,30 @@
                 logger.warning("accept failed", extra={"reason": str(error)})
                 eventlet.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            if self._try_accept():
-                eventlet.spawn_n(self._handle_connection, sock)
-            else:
-                reset_on_close(sock)
-                close_quietly(sock)
+            self._decide(sock)
+        self._accept_queued()
+        self._close_socket()
+
+    def _accept_queued(self):
+        """Decide on the connections that closing the socket would reset."""
+        while True:
+            try:
+                sock, _ = self._socket.fd.accept()
+            except OSError:
+                return
+            self._decide(GreenSocket(sock))
+
+    def _decide(self, sock):
+        if self._try_accept():
+            eventlet.spawn_n(self._handle_connection, sock)
+        else:
+            reset_on_close(sock)
+            close_quietly(sock)
+
+    def _close_socket(self):
+        if self._socket is not None:
+            close_quietly(self._socket)
+            self._socket = None
 
     def _handle_connection(self, sock):
         try:
--- a/src/merlinnotch/_limits/connection_gate.py
+++ b/src/merlinnotch/_limits/connection_gate.py
@@ -40,9 +40,11 @@
         self._accepted = 0
         self._due_at = now + BEAT_INTERVAL_S
 
-    def try_accept(self):
-        """Return whether a new connection is accepted."""
-        if self._accepted >= self._window:
-            return False
+    @property
+    def has_room(self):
+        """Whether another connection may be accepted before the next beat."""
+        return self._accepted < self._window
+
+    def admit(self):
+        """Count a connection that is accepted."""
         self._accepted += 1
-        return True
--- a/src/merlinnotch/_limits/link_budget.py
+++ b/src/merlinnotch/_limits/link_budget.py
@@ -6,6 +6,9 @@
 """Share of the link for callers' requests. The rest is for the store and for peers."""
 MAX_QUEUE_S = 0.25
 """How long the bytes of a request may wait for the link."""
+MAX_BURST_QUEUE_S = 0.5
+"""The same for connections that the kernel has accepted already. As their requests are
+on their way, closing them would save only the responses."""
 MAX_PAUSE_S = 1.0
 """A connection is accepted after this time even if the link is full, as other traffic
 may fill it for long."""
@@ -48,15 +51,22 @@
         return self._usable_bytes_per_s > 0.0
 
     def has_room(self, now):
-        """Return whether another connection may be accepted at *now*."""
-        if not self.is_limited or now - self._admitted_at >= MAX_PAUSE_S:
+        """Return whether further connections are welcome at *now*."""
+        if now - self._admitted_at >= MAX_PAUSE_S:
             return True
         return self.measure_queue_s(now) < MAX_QUEUE_S
 
-    def admit(self, now):
-        """Count a connection that is accepted at *now*."""
-        self._admitted_at = now
+    def try_admit(self, now):
+        """Count a connection that has arrived; return whether to read its request.
+
+        The link has to carry the request in any case.
+        """
+        is_due = now - self._admitted_at >= MAX_PAUSE_S
+        is_admitted = is_due or self.measure_queue_s(now) < MAX_BURST_QUEUE_S
+        if is_admitted:
+            self._admitted_at = now
         self.charge(self.mean_request_bytes)
+        return is_admitted
 
     def charge(self, size):
         """Count *size* bytes, headers included."""
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -49,3 +49,46 @@
     assert send(listener) == b"answer"
     eventlet.sleep(0)
     assert received == [b"request"]
+
+
+def connect(listener):
+    host, _, port = listener.address.partition(":")
+    return socket.create_connection((host, int(port)), timeout=5.0)
+
+
+@pytest.fixture
+def pausing_listener(make_listener):
+    """Return a listener that echoes a block and pauses after each connection."""
+
+    def pause():
+        listener.pause()
+        return True
+
+    listener = make_listener(
+        lambda sock: sock.sendall(sock.recv(100)), try_accept=pause
+    )
+    return listener
+
+
+def test_paused_listener_refuses_connections(pausing_listener):
+    assert send(pausing_listener) == b"request"
+    assert pausing_listener.is_paused
+    with pytest.raises(ConnectionRefusedError):
+        connect(pausing_listener)
+    pausing_listener.resume()
+    assert send(pausing_listener) == b"request"
+
+
+def test_open_connections_go_on_during_a_pause(pausing_listener):
+    with connect(pausing_listener) as sock:
+        eventlet.sleep(0.05)
+        assert pausing_listener.is_paused
+        sock.sendall(b"late")
+        assert sock.recv(100) == b"late"
+
+
+def test_closed_listener_is_not_resumed(pausing_listener):
+    pausing_listener.close()
+    pausing_listener.resume()
+    with pytest.raises(ConnectionRefusedError):
+        connect(pausing_listener)
