--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -1,5 +1,6 @@
 """Synchronization of the mirror and the view with the store."""
 
+import enum
 import logging
 
 import eventlet
@@ -26,6 +27,18 @@
 """How long after the store's recovery deletions may be expired leases."""
 
 
+class UpdateSource(enum.StrEnum):
+    """The way by which this instance learned a state of the store."""
+
+    WATCH = "watch"
+    FULL_READ = "full read"
+    FORWARDED = "forwarded"
+    WATCHER = "watcher"
+    """Fetched from the watcher that forwarded more than fits a message."""
+    PEER = "peer"
+    """Fetched from any instance, as the store is unavailable."""
+
+
 class StoreSync:
     """Applies store changes that the zone's watchers, the store or peers provide.
 
@@ -49,6 +62,7 @@
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._has_full_copy = False
         self._has_watched = False
+        self._updated_at = None
 
     def run(self):
         """Synchronize until the process ends."""
@@ -110,7 +124,7 @@
             )
             self._record_reply()
             self._has_watched = True
-            self._apply(self._mirror.apply, changes)
+            self._apply(self._mirror.apply, changes, UpdateSource.WATCH)
             self._change_forwarder.forward(
                 since, changes.index, changes, self._measure_recovery_age()
             )
@@ -120,7 +134,7 @@
             listing = self._store.read(ALL_KEYS_PREFIX, recurse=True)
             self._record_reply()
             self._has_full_copy = True
-            self._apply(self._mirror.replace, listing)
+            self._apply(self._mirror.replace, listing, UpdateSource.FULL_READ)
             self._change_forwarder.forward(
                 since, listing.index, None, self._measure_recovery_age()
             )
@@ -136,21 +150,30 @@
         if forwarded.index > self._mirror.index:
             if forwarded.changes is not None and forwarded.since <= self._mirror.index:
                 apply, update = self._mirror.apply, forwarded.changes
+                source = UpdateSource.FORWARDED
             else:
                 update = self._peers.fetch_from(forwarded.sender, self._mirror.index)
                 if update is None or update.index < forwarded.index:
                     return False
                 apply = self._mirror.merge
-            self._apply(apply, update, forwarded.since_recovery_s)
+                source = UpdateSource.WATCHER
+            self._apply(apply, update, source, forwarded)
         self._record_reply()
         return True
 
-    def _apply(self, apply, update, forwarded_age_s=None):
+    def _apply(self, apply, update, source, forwarded=None):
         """Apply *update* to the mirror by its method *apply*, and to the view.
 
-        *forwarded_age_s* is the time since the store's recovery that a watcher
-        reported.
+        *source* is its :class:`UpdateSource`, *forwarded* the
+        :class:`ForwardedChanges` that it came with.
         """
+        previous = self._view.configuration
+        self._apply_to_view(apply, update, forwarded)
+        if self._view.configuration is not previous:
+            self._log_configuration(source, forwarded)
+        self._updated_at = self._read_clock()
+
+    def _apply_to_view(self, apply, update, forwarded):
         had_items = bool(self._mirror.items)
         previous_era = self._mirror.era
         key_changes = apply(update)
@@ -158,11 +181,27 @@
         if had_items and self._mirror.era != previous_era:
             self._view.apply_copy(key_changes, now)
             return
+        forwarded_age_s = forwarded.since_recovery_s if forwarded else None
         ages_s = [
             s for s in (forwarded_age_s, self._measure_recovery_age()) if s is not None
         ]
         self._view.apply(key_changes, now, now - max(ages_s) if ages_s else None)
 
+    def _log_configuration(self, source, forwarded):
+        """Log how a configuration was learned, which tells why it came late."""
+        now = self._read_clock()
+        silence_s = None if self._updated_at is None else now - self._updated_at
+        wait_s = now - forwarded.received_at if forwarded else 0.0
+        fields = {
+            "version": self._view.configuration.version,
+            "source": str(source),
+            "sender": forwarded and forwarded.sender,
+            "waited_ms": round(wait_s * 1000.0, 1),
+            "silent_ms": None if silence_s is None else round(silence_s * 1000.0, 1),
+            "index": self._mirror.index,
+        }
+        logger.info("configuration learned", extra=fields)
+
     def _measure_recovery_age(self):
         """Return the seconds since the store recovered from an outage.
 
@@ -196,4 +235,4 @@
     def _fetch_from_peers(self):
         update = self._peers.fetch_newer(self._mirror.index)
         if update is not None:
-            self._apply(self._mirror.merge, update)
+            self._apply(self._mirror.merge, update, UpdateSource.PEER)
--- a/tests/entry/test_store_sync.py
+++ b/tests/entry/test_store_sync.py
@@ -121,3 +121,37 @@
     before = world.store.calls.count(("GET", "/kv-range"))
     eventlet.sleep(1.0)
     assert world.store.calls.count(("GET", "/kv-range")) - before <= 6
+
+
+def get_sources(caplog, version):
+    """Return the sources from which instances learned a configuration, sorted."""
+    records = [r for r in caplog.records if r.message == "configuration learned"]
+    return sorted(r.source for r in records if r.version == version)
+
+
+def test_log_tells_how_a_configuration_was_learned(world, caplog):
+    caplog.set_level("INFO", "merlinnotch")
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in ("one", "two", "three", "four")]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.peers) == len(zone))
+    eventlet.sleep(0.5)
+    assert set(get_sources(caplog, 1)) == {"full read"}
+    world.configure(keys=[f"key-{number:040}" for number in range(60)])
+    for one in zone:
+        wait_until(lambda one=one: get_version(one) == 2)
+    assert len(get_sources(caplog, 2)) == len(zone)
+    assert "watch" in get_sources(caplog, 2)
+    assert "watcher" in get_sources(caplog, 2)
+
+
+def test_log_tells_that_a_configuration_was_learned_from_a_peer(world, caplog):
+    caplog.set_level("INFO", "merlinnotch")
+    world.add_upstream("i-1")
+    one, two = world.add_instance("one"), world.add_instance("two")
+    wait_until(lambda: len(one.view.peers) == len(two.view.peers) == 2)
+    one.store.set_address(PORTS.pick("127.0.0.1"))
+    wait_until(lambda: not one.store_sync.is_connected)
+    world.configure()
+    wait_until(lambda: get_version(one) == 2)
+    assert "peer" in get_sources(caplog, 2)
