Restored store: instances that follow watchers act on it at once as well

After a restore only the two watchers of a zone were registered again at once. The others had their lease refused at their next renewal, up to 10 s later, and were missing for instances that started meanwhile.

Cause: the era that came with forwarded changes or from peers reached the mirror only; the store's client learned it from its own next reply. The era now goes to the client with each update that raises it.

Three new tests of tests/entry/test_restored_store.py failed before, with five instances: addresses written again, an instance that starts after the restore, the era of calls.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -178,9 +178,11 @@
         previous_era = self._mirror.era
         key_changes = apply(update)
         now = self._read_clock()
-        if had_items and self._mirror.era != previous_era:
-            self._view.apply_copy(key_changes, now)
-            return
+        if self._mirror.era != previous_era:
+            self._store.advance_era(self._mirror.era)
+            if had_items:
+                self._view.apply_copy(key_changes, now)
+                return
         forwarded_age_s = forwarded.since_recovery_s if forwarded else None
         ages_s = [
             s for s in (forwarded_age_s, self._measure_recovery_age()) if s is not None
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -117,6 +117,17 @@
         """The highest era of the replies so far, 0 before the first."""
         return self._era or 0
 
+    def advance_era(self, era):
+        """Record that the store has reached *era*, which peers may know first."""
+        if self._era is not None and era <= self._era:
+            return
+        is_restored = self._era is not None
+        logger.info("store era changed", extra={"era": era, "previous": self._era})
+        self._era = era
+        if is_restored:
+            self._end_calls()
+            self.on_restored()
+
     def set_address(self, address):
         """Use another address for all further calls."""
         self.address = address
@@ -308,14 +319,7 @@
         era = int(text)
         if era < self.era:
             raise StoreUnavailable(f"reply of era {era}, the current one is {self.era}")
-        if era == self._era:
-            return
-        is_restored = self._era is not None
-        logger.info("store era changed", extra={"era": era, "previous": self._era})
-        self._era = era
-        if is_restored:
-            self._end_calls()
-            self.on_restored()
+        self.advance_era(era)
 
     def _end_calls(self):
         """End the calls under way, which belong to the era before."""
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -178,6 +178,45 @@
     wait_until(lambda: one.view.list_present_peers(), IN_TIME_S)
 
 
+def test_addresses_of_instances_that_follow_watchers_are_written_again(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    # Registrations are renewed every 10 s.
+    eventlet.sleep(0.5)
+    world.store.restore(store_copy)
+    for name in NAMES:
+        key = f"merlinnotch/peers/{name}"
+        wait_until(lambda key=key: world.store.read(key), IN_TIME_S)
+
+
+def test_instance_that_starts_after_a_restore_knows_all_others(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    world.store.restore(store_copy)
+    world.list_upstream("i-1", "app", world.upstreams["i-1"].address, seq=1)
+    world.configure()
+    six = world.add_instance("six")
+    wait_until(lambda: len(six.view.list_present_peers()) == len(NAMES) + 1, IN_TIME_S)
+
+
+def test_calls_of_an_instance_that_follows_watchers_are_of_the_new_era(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    world.store.restore(store_copy)
+    for one in zone:
+        wait_until(lambda one=one: one.mirror.era == world.store.era, IN_TIME_S)
+        assert one.store.era == one.mirror.era
+
+
 def test_peers_stay_present_until_they_are_written_again(world):
     store_copy = world.store.take_copy()
     world.add_upstream("i-1")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -185,3 +185,33 @@
     with pytest.raises(StoreConflict):
         store.close_lease(lease)
     assert lease.number in server.leases
+
+
+@pytest.fixture
+def restores(store):
+    restores = []
+    store.on_restored = lambda: restores.append(store.era)
+    return restores
+
+
+def test_era_that_peers_know_first_counts_as_a_restore_once(store, server, restores):
+    store.read("a")
+    server.restore(server.take_copy())
+    store.advance_era(server.era)
+    store.advance_era(server.era - 1)
+    store.read("a")
+    assert restores == [server.era]
+
+
+def test_first_era_is_no_restore(store, server, restores):
+    store.advance_era(server.era)
+    store.read("a")
+    assert restores == []
+
+
+def test_lease_of_an_era_that_peers_know_to_be_over_is_not_renewed(store, server):
+    lease = store.open_lease(10.0, "one")
+    server.restore(server.take_copy())
+    store.advance_era(server.era)
+    with pytest.raises(StoreConflict):
+        store.renew_lease(lease)
