Link budget: repeated sends raise the mean only; bursts of half a second pass

They now count in the mean, which new connections are charged with, and the queue may reach 0.4 s (0.25 before), 0.8 s (0.5) with what the kernel has accepted.

--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -157,7 +157,7 @@
             sock, self._read_clock, WRITE_TIMEOUT_S, record_bytes
         )
         try:
-            while self._serve_one(connection):
+            while self._serve_one(connection, traffic):
                 traffic.finish_request()
         except MalformedMessage as error:
             self._metrics.refusals.labels("malformed").inc()
@@ -170,7 +170,7 @@
             connection.close()
             traffic.finish_request()
 
-    def _serve_one(self, connection):
+    def _serve_one(self, connection, traffic):
         configuration = self._view.configuration
         limits = configuration.limits if configuration else CallerLimits()
         self._waiting_connections.add(connection)
@@ -178,7 +178,8 @@
         self._waiting_connections.discard(connection)
         if request is None:
             return False
-        self.answer(request, connection, self._caller_source)
+        resent_bytes = self.answer(request, connection, self._caller_source)
+        traffic.record_resent(resent_bytes)
         # A response started before the shutdown may have announced keep-alive, but
         # the next request on the connection would be cut off.
         return connection.finish() and not self.is_shutting_down
@@ -186,19 +187,15 @@
     def answer(self, request, connection, source):
         """Write the response to a request from *source*, a :class:`RequestSource`.
 
-        Raises :class:`TransportError`.
+        Return the bytes of the request that were sent to further upstreams. Raises
+        :class:`TransportError`.
         """
         self.in_flight += 1
         try:
-            self._answer(request, connection, source)
+            return self._answer(request, connection, source)
         finally:
             self.in_flight -= 1
 
-    def _record_resent(self, request, call, connection):
-        """Count the bytes of a request that was sent to several upstreams."""
-        if call is not None and call.send_count > 1:
-            connection.record_bytes((call.send_count - 1) * len(request.body))
-
     def _answer(self, request, connection, source):
         call = None
         if self.is_shutting_down:
@@ -221,8 +218,7 @@
             outcome = Outcome.UNKNOWN
             error = RequestRefused(ErrorKind.INTERNAL, outcome=outcome)
             self._refuse(request, call, connection, error, source)
-        finally:
-            self._record_resent(request, call, connection)
+        return _count_resent_bytes(request, call)
 
     def _check_shutdown(self, call):
         if self._shutdown_at is None:
@@ -262,6 +258,11 @@
         logger.info("request ended", extra=fields)
 
 
+def _count_resent_bytes(request, call):
+    further_sends = max(0, call.send_count - 1) if call else 0
+    return further_sends * len(request.body)
+
+
 class _Interrupter:
     """Ends a call by raising an error in its green thread.
 
--- a/src/merlinnotch/_limits/link_budget.py
+++ b/src/merlinnotch/_limits/link_budget.py
@@ -4,9 +4,9 @@
 
 USABLE_SHARE = 0.9
 """Share of the link for callers' requests. The rest is for the store and for peers."""
-MAX_QUEUE_S = 0.25
+MAX_QUEUE_S = 0.4
 """How long the bytes of a request may wait for the link."""
-MAX_BURST_QUEUE_S = 0.5
+MAX_BURST_QUEUE_S = 0.8
 """The same for connections that the kernel has accepted already. As their requests are
 on their way, closing them would save only the responses."""
 MAX_PAUSE_S = 1.0
@@ -75,7 +75,7 @@
 
     def settle(self, used, charged):
         """Count a request that is over and took *used* bytes of *charged* ones."""
-        self._level = max(0.0, self._level - (charged - used))
+        self._level = max(0.0, self._level - max(0.0, charged - used))
         self.mean_request_bytes += MEAN_WEIGHT * (used - self.mean_request_bytes)
 
     def measure_queue_s(self, now):
@@ -107,6 +107,13 @@
             self._budget.charge(self._used - self._charged)
             self._charged = self._used
 
+    def record_resent(self, size):
+        """Count *size* bytes that were sent again while the request was in progress.
+
+        They have crossed the link by now and only raise the mean.
+        """
+        self._used += measure_wire_bytes(size)
+
     def finish_request(self):
         """Count the end of a request; further bytes belong to the next one."""
         self._budget.settle(self._used, self._charged)
