A long reply of the store may take longer than a call

Cause: the time limit of a call, 1 s or the wait of a watch and 0.5 s, held for the whole reply. A configuration with 1,400 routes takes about a second over 5 Mbit/s, and the watch after a failure, whose wait is 0, had 0.5 s for it: each attempt ended in the middle of the same reply, while the peers that were asked instead had it late as well. The class: a time limit that allows for no length.

The limit now holds until the reply begins; its body may go on as long as no pause within it is longer than a call. A reply that stops arriving is given up as before.

Three tests failed before: a watch, and a full read, of a large configuration over 2 Mbit/s (never in force within 15 s), and a reply in slow pieces.

--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -114,6 +114,16 @@
         """
         return join_parts(lambda: self.read_part(deadline), max_bytes)
 
+    def read_long_body(self, max_pause_s, max_bytes):
+        """Return the whole body, however long it takes.
+
+        Raises :class:`ConnectionBroken` if nothing arrives for *max_pause_s*, or if it
+        is longer than *max_bytes*.
+        """
+        return join_parts(
+            lambda: self.read_part(self._read_clock() + max_pause_s), max_bytes
+        )
+
     def make_reusable(self, now):
         """Prepare for the next exchange; return whether there can be one."""
         if self._must_close or (
@@ -198,13 +208,16 @@
     return b"".join(parts)
 
 
-def call(connection, method, target, pairs, body, deadline, max_bytes):
+def call(connection, method, target, pairs, body, deadline, max_pause_s, max_bytes):
     """Send a request and return the head and the body of its response.
 
+    The head arrives until *deadline*. The body, whose length the time limit of a call
+    can't allow for on a slow link, arrives without pauses longer than *max_pause_s*.
+
     Raises :class:`ConnectionBroken`, :class:`MalformedMessage` for an encoded body.
     """
     connection.send_request(method, target, pairs, body, deadline)
     head = connection.read_head(deadline)
     if head.fields.get("content-encoding"):
         raise MalformedMessage("response has a Content-Encoding field", 502)
-    return head, connection.read_body(deadline, max_bytes)
+    return head, connection.read_long_body(max_pause_s, max_bytes)
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -92,10 +92,11 @@
 class PlatformStore(KeyValueStore):
     """A client with a pool of connections.
 
-    *address* is host:port. *timeout_s* limits each call except watches, whose limit
-    depends on their wait. *read_clock* returns monotonic seconds. *on_call* is called
-    with the kind of each call, for metrics. A connection is closed after a failure,
-    because the store sends nothing more on a connection whose reply was lost.
+    *address* is host:port. *timeout_s* limits the time until a reply begins, except for
+    watches, whose limit depends on their wait, and pauses within a reply. *read_clock*
+    returns monotonic seconds. *on_call* is called with the kind of each call, for
+    metrics. A connection is closed after a failure, because the store sends nothing
+    more on a connection whose reply was lost.
 
     The store's era rises each time it is restored from a copy, and with it all indexes.
     Replies of an earlier era are rejected. *on_restored* is called when the era
@@ -295,7 +296,14 @@
         self._busy_connections.add(connection)
         try:
             head, reply = call(
-                connection, method, path, pairs, data, deadline, MAX_REPLY_BYTES
+                connection,
+                method,
+                path,
+                pairs,
+                data,
+                deadline,
+                self._timeout_s,
+                MAX_REPLY_BYTES,
             )
         except (ConnectionBroken, MalformedMessage) as error:
             connection.close()
--- a/tests/entry/test_large_configuration.py
+++ b/tests/entry/test_large_configuration.py
@@ -1,4 +1,4 @@
-"""Forwarding of a configuration that is larger than a message, over narrow links."""
+"""A configuration that is larger than a message, over narrow links."""
 
 import collections
 
@@ -6,10 +6,12 @@
 import pytest
 
 from merlinnotch._entry.process import EntryProcess
+from standins.link import Link, LinkProxy
 from tests.platform_world import HOST, make_routes, wait_until
 
 ROUTE_COUNT = 1400
 LINK_BYTES_PER_S = 5e6 / 8
+STORE_LINK_BYTES_PER_S = 2e6 / 8
 FETCH_S = 1.0
 """Part of a configuration's time limit in which followers may fetch it."""
 FOLLOWERS_PER_WATCHER = 7
@@ -52,3 +54,29 @@
     followers = [one for one in zone if not one.change_forwarder.is_watcher()]
     bytes_per_follower = sum(peer_bytes.values()) / len(followers)
     assert bytes_per_follower * FOLLOWERS_PER_WATCHER <= LINK_BYTES_PER_S * FETCH_S
+
+
+@pytest.fixture
+def narrow_instance(world):
+    """Return an instance whose link to the store carries 2 Mbit/s."""
+    world.add_upstream("i-1")
+    link = Link(STORE_LINK_BYTES_PER_S)
+    proxy = LinkProxy(world.store.address, link.outbound, link.inbound)
+    return world.add_instance(store_address=proxy.address)
+
+
+def test_watch_whose_reply_takes_longer_than_a_call_is_read(
+    world, narrow_instance, caplog
+):
+    world.configure(routes=make_many_routes())
+    wait_until(lambda: narrow_instance.view.configuration.version == 2, 15.0)
+    assert "store unavailable" not in caplog.messages
+
+
+def test_full_read_that_takes_longer_than_a_call_is_read(world):
+    world.add_upstream("i-1")
+    world.configure(routes=make_many_routes())
+    link = Link(STORE_LINK_BYTES_PER_S)
+    proxy = LinkProxy(world.store.address, link.outbound, link.inbound)
+    instance = world.start_instance(store_address=proxy.address)
+    wait_until(lambda: instance.view.is_ready, 15.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -187,6 +187,37 @@
     assert lease.number in server.leases
 
 
+def send_slowly(pieces, pause_s):
+    """Return the address of a store that sends a reply in *pieces*, *pause_s* apart."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.recv(4096)
+        length = sum(map(len, pieces))
+        sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length)
+        for piece in pieces:
+            sock.sendall(piece)
+            eventlet.sleep(pause_s)
+
+    eventlet.spawn(serve)
+    return "{}:{}".format(*listener.getsockname())
+
+
+PIECES = (b'{"key": "a", ', b'"value": "', b'eA==", ', b'"revision": 3}')
+
+
+def test_reply_that_arrives_slowly_is_read(server):
+    store = PlatformStore(send_slowly(PIECES, 0.2), read_clock, 0.3)
+    assert store.read("a").items[0].value == b"x"
+
+
+def test_reply_that_stops_arriving_is_given_up(server):
+    store = PlatformStore(send_slowly(PIECES, 5.0), read_clock, 0.3)
+    with pytest.raises(StoreUnavailable), eventlet.Timeout(2.0):
+        store.read("a")
+
+
 @pytest.fixture
 def restores(store):
     restores = []
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -81,7 +81,8 @@
 
         *changes* are arguments of :func:`make_settings`.
         """
-        settings = make_settings(self.store.address, name, **changes)
+        changes = {"store_address": self.store.address} | changes
+        settings = make_settings(name=name, **changes)
         process = EntryProcess(settings, started_at=read_clock() - LONG_AGO_S)
         process.start()
         self.instances.append(process)
