--- a/tests/gateway/test_full_link.py
+++ b/tests/gateway/test_full_link.py
@@ -16,14 +16,14 @@
 LINK_MBPS = 5.0
 LINK_BYTES_PER_S = LINK_MBPS * 1e6 / 8
 WARM_UP_S = 2.0
-DURATION_S = 4.0
+DURATION_S = 5.0
 MIN_SERVED_SHARE = 0.95
 """Least share of the requests that were read which are served."""
 PATIENCE_S = 2.0
 """Time after which a caller gives up, longer than a busy machine holds up a process."""
 RECOVERY_S = 2.0
-BODY_BYTES = 12000
-CAPACITY = 45
+BODY_BYTES = 30000
+CAPACITY = 18
 """Requests a second with such bodies, in and out again, that the link carries."""
 
 
