--- a/tests/limits/test_connection_gate.py
+++ b/tests/limits/test_connection_gate.py
@@ -78,7 +78,7 @@
         pass
 
 
-def play(gate, rate, duration_s=10.0):
+def play(gate, rate, duration_s=10.0, cost_s=COST_S, reset_cost_s=RESET_COST_S):
     """Return how many requests were read and how many of them answered in time.
 
     A scheduler gives each request a part of its processor time in each turn. Requests
@@ -99,9 +99,9 @@
                 in_progress.append([connected_at, 0])
                 read += connected_at > 3.0
             else:
-                now += RESET_COST_S
+                now += reset_cost_s
         for request in in_progress:
-            now += COST_S / TURNS
+            now += cost_s / TURNS
             request[1] += 1
             is_over = request[1] == TURNS
             is_in_time = now - request[0] <= PATIENCE_S
@@ -129,3 +129,11 @@
     read, answered = play(ConnectionGate(), 300)
     assert answered >= 0.99 * read
     assert read >= 0.99 * 300 * 7.0
+
+
+@pytest.mark.parametrize("reset_cost_s", [0.0, RESET_COST_S])
+@pytest.mark.parametrize("rate", [100, 400, 1000, 2000, 5000])
+def test_process_with_a_tenth_of_a_core_answers_what_it_reads(rate, reset_cost_s):
+    cost_s = 10.0 * COST_S
+    read, answered = play(ConnectionGate(), rate, 10.0, cost_s, reset_cost_s)
+    assert answered >= 0.75 * read > 0
