Link budget: connections that end without a request leave the mean

The idle end of a kept connection counted as a request of 0 bytes, so that the mean of callers that keep their connections fell to a fraction, and new connections were charged too little. Two tests failed before (mean 263 of 4,096 after 100 connections without a request).

--- a/src/merlinnotch/_limits/link_budget.py
+++ b/src/merlinnotch/_limits/link_budget.py
@@ -73,10 +73,13 @@
         if self.is_limited:
             self._level += size
 
-    def settle(self, used, charged):
-        """Count a request that is over and took *used* bytes of *charged* ones."""
-        self._level = max(0.0, self._level - max(0.0, charged - used))
-        self.mean_request_bytes += MEAN_WEIGHT * (used - self.mean_request_bytes)
+    def refund(self, size):
+        """Take back *size* bytes that were charged and won't follow."""
+        self._level = max(0.0, self._level - size)
+
+    def record_request(self, size):
+        """Record that a request and its response took *size* bytes, for the mean."""
+        self.mean_request_bytes += MEAN_WEIGHT * (size - self.mean_request_bytes)
 
     def measure_queue_s(self, now):
         """Return how long a byte that enters the link at *now* has to wait."""
@@ -99,9 +102,11 @@
         self._budget = budget
         self._charged = budget.mean_request_bytes
         self._used = float(CONNECTION_BYTES)
+        self._has_request = False
 
     def record(self, size):
         """Count a block of *size* bytes that was read or written."""
+        self._has_request = self._has_request or size > 0
         self._used += measure_wire_bytes(size)
         if self._used > self._charged:
             self._budget.charge(self._used - self._charged)
@@ -116,8 +121,11 @@
 
     def finish_request(self):
         """Count the end of a request; further bytes belong to the next one."""
-        self._budget.settle(self._used, self._charged)
+        self._budget.refund(max(0.0, self._charged - self._used))
+        if self._has_request:
+            self._budget.record_request(self._used)
         self._charged = self._used = 0.0
+        self._has_request = False
 
 
 def measure_wire_bytes(size):
