--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -112,6 +112,36 @@
     wait_until(lambda: get_version(one) == 2, IN_TIME_S)
 
 
+def test_zone_follows_two_restores_within_a_second(world):
+    store_copy = world.store.take_copy()
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    world.store.restore(store_copy)
+    eventlet.sleep(0.5)
+    world.store.restore(store_copy)
+    world.list_upstream("i-1", "app", world.upstreams["i-1"].address, seq=1)
+    world.configure()
+    for one in zone:
+        wait_until(lambda one=one: get_version(one) == 2, IN_TIME_S)
+    for name in NAMES:
+        key = f"merlinnotch/peers/{name}"
+        wait_until(lambda key=key: world.store.read(key), IN_TIME_S)
+
+
+def test_history_is_dropped_right_after_a_restore(world):
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    restore_after_writes(world)
+    world.configure()
+    world.store.compact()
+    for one in zone:
+        wait_until(lambda one=one: get_version(one) == 2, IN_TIME_S)
+
+
 def test_configuration_of_the_copy_does_not_replace_a_newer_one(world):
     world.add_upstream("i-1")
     one = world.add_instance()
