--- a/soak/instances.py
+++ b/soak/instances.py
@@ -31,6 +31,8 @@
 [rollouts]
 exposure_share = 0.15
 slack = 30
+[link]
+mbps = {link_mbps}
 [shutdown]
 grace_s = {grace_s}
 """
@@ -40,10 +42,11 @@
     """One instance process, which reaches the store through *store_proxy*.
 
     *host* is a loopback address of its own, since an outgoing connection of another
-    process may occupy a port of 127.0.0.1 while the instance restarts.
+    process may occupy a port of 127.0.0.1 while the instance restarts. *link_mbps* is
+    what its settings say of its network link, 0 for unlimited.
     """
 
-    def __init__(self, name, host, zone, store_proxy, folder):
+    def __init__(self, name, host, zone, store_proxy, folder, link_mbps):
         self.name = name
         self.store_proxy = store_proxy
         self.process = None
@@ -62,6 +65,7 @@
                 metrics=ports[3],
                 store=store_proxy.address,
                 grace_s=SHUTDOWN_GRACE_S,
+                link_mbps=link_mbps,
             )
         )
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,8 @@
 from .proxy import Proxy
 from .upstreams import SoakUpstream
 
+NARROW_LINK_MBPS = 0.1
+"""The first instance refuses new connections now and then, as its link is full."""
 STARTUP_S = 2.0
 """Time in which instances that have started learn of each other."""
 MAX_STARTUP_S = 60.0
@@ -189,7 +191,8 @@
         store_proxy = Proxy(name, (host, int(port)))
         instance_host = f"127.{20 + seed % 200}.{number // 200}.{1 + number % 200}"
         zone = f"zone-{number % 2}"
-        return Instance(name, instance_host, zone, store_proxy, self.folder)
+        link_mbps = NARROW_LINK_MBPS if number == 0 else 0.0
+        return Instance(name, instance_host, zone, store_proxy, self.folder, link_mbps)
 
     def _make_caller(self, number):
         generator = random.Random(self.generator.random())
