--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -148,17 +148,12 @@
 
     def _serve(self, sock):
         traffic = ConnectionTraffic(self._link_budget)
-
-        def record_bytes(size):
-            self._metrics.link_bytes.inc(size)
-            traffic.record(size)
-
         connection = CallerConnection(
-            sock, self._read_clock, WRITE_TIMEOUT_S, record_bytes
+            sock, self._read_clock, WRITE_TIMEOUT_S, traffic.record
         )
         try:
             while self._serve_one(connection, traffic):
-                traffic.finish_request()
+                self._metrics.link_bytes.inc(traffic.finish_request())
         except MalformedMessage as error:
             self._metrics.refusals.labels("malformed").inc()
             logger.info("malformed request", extra={"detail": str(error)})
@@ -168,7 +163,7 @@
         finally:
             self._waiting_connections.discard(connection)
             connection.close()
-            traffic.finish_request()
+            self._metrics.link_bytes.inc(traffic.finish_request())
 
     def _serve_one(self, connection, traffic):
         configuration = self._view.configuration
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -208,11 +208,14 @@
     return b"".join(parts)
 
 
-def call(connection, method, target, pairs, body, deadline, max_pause_s, max_bytes):
+def call(
+    connection, method, target, pairs, body, deadline, max_bytes, max_pause_s=None
+):
     """Send a request and return the head and the body of its response.
 
-    The head arrives until *deadline*. The body, whose length the time limit of a call
-    can't allow for on a slow link, arrives without pauses longer than *max_pause_s*.
+    With *max_pause_s* only the head has to arrive until *deadline*, and the body may
+    take longer as long as no pause in it does. A deadline can't allow for the length of
+    a body on a slow link.
 
     Raises :class:`ConnectionBroken`, :class:`MalformedMessage` for an encoded body.
     """
@@ -220,4 +223,6 @@
     head = connection.read_head(deadline)
     if head.fields.get("content-encoding"):
         raise MalformedMessage("response has a Content-Encoding field", 502)
+    if max_pause_s is None:
+        return head, connection.read_body(deadline, max_bytes)
     return head, connection.read_long_body(max_pause_s, max_bytes)
--- a/src/merlinnotch/_limits/link_budget.py
+++ b/src/merlinnotch/_limits/link_budget.py
@@ -102,11 +102,11 @@
         self._budget = budget
         self._charged = budget.mean_request_bytes
         self._used = float(CONNECTION_BYTES)
-        self._has_request = False
+        self._data_bytes = 0
 
     def record(self, size):
         """Count a block of *size* bytes that was read or written."""
-        self._has_request = self._has_request or size > 0
+        self._data_bytes += size
         self._used += measure_wire_bytes(size)
         if self._used > self._charged:
             self._budget.charge(self._used - self._charged)
@@ -120,14 +120,19 @@
         self._used += measure_wire_bytes(size)
 
     def finish_request(self):
-        """Count the end of a request; further bytes belong to the next one."""
+        """Count the end of a request; further bytes belong to the next one.
+
+        Return the bytes that were read and written for it.
+        """
         self._budget.refund(max(0.0, self._charged - self._used))
-        if self._has_request:
+        if self._data_bytes:
             self._budget.record_request(self._used)
         self._charged = self._used = 0.0
-        self._has_request = False
+        data_bytes, self._data_bytes = self._data_bytes, 0
+        return data_bytes
 
 
 def measure_wire_bytes(size):
     """Return *size* bytes of data with the headers of their packets."""
-    return size + math.ceil(size / PACKET_DATA_BYTES) * PACKET_HEADER_BYTES
+    packets = -(-size // PACKET_DATA_BYTES)
+    return size + packets * PACKET_HEADER_BYTES
--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -302,8 +302,8 @@
                 pairs,
                 data,
                 deadline,
-                self._timeout_s,
                 MAX_REPLY_BYTES,
+                self._timeout_s,
             )
         except (ConnectionBroken, MalformedMessage) as error:
             connection.close()
