Link budget: drain with each beat

The bucket was drained when a connection arrived only. What open connections moved since then was taken to have been carried during the silence before it: 4 kB charged 5 s after the last connection were a queue of 0 s over 1 kB/s, 4.4 s now.

--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -111,6 +111,7 @@
     def record_beat(self, now):
         """Record that the timer has fired, which shows how late tasks are run."""
         self._gate.record_beat(now)
+        self._link_budget.record_beat(now)
         if self._listener.is_paused and self._find_overload(now) is None:
             self._listener.resume()
 
--- a/src/merlinnotch/_limits/link_budget.py
+++ b/src/merlinnotch/_limits/link_budget.py
@@ -81,14 +81,21 @@
         """Record that a request and its response took *size* bytes, for the mean."""
         self.mean_request_bytes += MEAN_WEIGHT * (size - self.mean_request_bytes)
 
-    def measure_queue_s(self, now):
-        """Return how long a byte that enters the link at *now* has to wait."""
-        if not self.is_limited:
-            return 0.0
+    def record_beat(self, now):
+        """Record that the link has carried what it could until *now*.
+
+        Bytes that are charged later haven't been carried before.
+        """
         if self._drained_at is not None:
             drained = (now - self._drained_at) * self._usable_bytes_per_s
             self._level = max(0.0, self._level - drained)
         self._drained_at = now
+
+    def measure_queue_s(self, now):
+        """Return how long a byte that enters the link at *now* has to wait."""
+        if not self.is_limited:
+            return 0.0
+        self.record_beat(now)
         return self._level / self._usable_bytes_per_s
 
 
--- a/tests/limits/test_link_budget.py
+++ b/tests/limits/test_link_budget.py
@@ -151,6 +151,13 @@
     assert not budget.has_room(MAX_PAUSE_S + 0.01)
 
 
+def test_bytes_of_open_connections_count_though_no_new_one_arrives(budget):
+    budget.record_beat(0.0)
+    budget.record_beat(5.0)
+    budget.charge(4000)
+    assert budget.measure_queue_s(5.0) > 4.0
+
+
 def test_mean_follows_the_size_of_requests(budget):
     for _ in range(200):
         traffic = ConnectionTraffic(budget)
