--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -26,6 +26,15 @@
     return {u.id for u in process.view.list_upstreams("app")}
 
 
+def start_zone(world):
+    """Start an upstream and five instances; return these once all know each other."""
+    world.add_upstream("i-1")
+    zone = [world.add_instance(name) for name in NAMES]
+    for one in zone:
+        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    return zone
+
+
 def restore_after_writes(world, count=5):
     """Restore the store from a copy that lacks the last *count* writes."""
     store_copy = world.store.take_copy()
@@ -114,10 +123,7 @@
 
 def test_zone_follows_two_restores_within_a_second(world):
     store_copy = world.store.take_copy()
-    world.add_upstream("i-1")
-    zone = [world.add_instance(name) for name in NAMES]
-    for one in zone:
-        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    zone = start_zone(world)
     world.store.restore(store_copy)
     eventlet.sleep(0.5)
     world.store.restore(store_copy)
@@ -131,10 +137,7 @@
 
 
 def test_history_is_dropped_right_after_a_restore(world):
-    world.add_upstream("i-1")
-    zone = [world.add_instance(name) for name in NAMES]
-    for one in zone:
-        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    zone = start_zone(world)
     restore_after_writes(world)
     world.configure()
     world.store.compact()
@@ -210,10 +213,7 @@
 
 def test_addresses_of_instances_that_follow_watchers_are_written_again(world):
     store_copy = world.store.take_copy()
-    world.add_upstream("i-1")
-    zone = [world.add_instance(name) for name in NAMES]
-    for one in zone:
-        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    start_zone(world)
     # Registrations are renewed every 10 s.
     eventlet.sleep(0.5)
     world.store.restore(store_copy)
@@ -224,10 +224,7 @@
 
 def test_instance_that_starts_after_a_restore_knows_all_others(world):
     store_copy = world.store.take_copy()
-    world.add_upstream("i-1")
-    zone = [world.add_instance(name) for name in NAMES]
-    for one in zone:
-        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    start_zone(world)
     world.store.restore(store_copy)
     world.list_upstream("i-1", "app", world.upstreams["i-1"].address, seq=1)
     world.configure()
@@ -237,10 +234,7 @@
 
 def test_calls_of_an_instance_that_follows_watchers_are_of_the_new_era(world):
     store_copy = world.store.take_copy()
-    world.add_upstream("i-1")
-    zone = [world.add_instance(name) for name in NAMES]
-    for one in zone:
-        wait_until(lambda one=one: len(one.view.list_present_peers()) == len(NAMES))
+    zone = start_zone(world)
     world.store.restore(store_copy)
     for one in zone:
         wait_until(lambda one=one: one.mirror.era == world.store.era, IN_TIME_S)
