Compressed states: drop a wrong figure; a private callback

The callback of CallerConnection is used inside only since bytes of repeated sends are counted elsewhere.

--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -28,10 +28,9 @@
 NOT_FOUND = 404
 STATE_PATH = "/state"
 ENCODING = "deflate"
-"""Configurations repeat field names and values in each route, so that a tenth is left.
-Peers of earlier releases send and get states without it."""
+"""Configurations repeat field names and values in each route. Peers of earlier releases
+send and get states without it."""
 COMPRESSION_LEVEL = 1
-"""The fastest one; a higher level would save a fifth of the bytes."""
 
 
 class PeerClient:
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -56,7 +56,7 @@
         self._sock = sock
         self._read_clock = read_clock
         self._write_timeout_s = write_timeout_s
-        self.record_bytes = record_bytes
+        self._record_bytes = record_bytes
         self._buffer = b""
         self._protocol = None
         self._disconnect_watcher = None
@@ -132,7 +132,7 @@
 
     def write(self, data):
         """Send encoded bytes; raises :class:`CallerDisconnected` if this fails."""
-        self.record_bytes(len(data))
+        self._record_bytes(len(data))
         try:
             send(self._sock, data, self._write_timeout_s)
         except ConnectionBroken as error:
@@ -212,7 +212,7 @@
 
     def _receive(self, timeout_s):
         data = receive(self._sock, timeout_s)
-        self.record_bytes(len(data))
+        self._record_bytes(len(data))
         return data
 
     def _receive_more(self, timeout_s):
