--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -168,7 +168,8 @@
                 self._metrics.link_bytes.inc(traffic.finish_request())
         except MalformedMessage as error:
             self._metrics.refusals.labels("malformed").inc()
-            logger.info("malformed request", extra={"detail": str(error)})
+            fields = {"detail": str(error), "version": self._get_version()}
+            logger.info("malformed request", extra=fields)
             connection.send_error(error.status)
         except TransportError as error:
             logger.debug("connection ended", extra={"detail": str(error)})
@@ -248,6 +249,11 @@
             *source.build_refusal(error, call, remaining_s, self._generator)
         )
 
+    def _get_version(self):
+        """Return the version of the configuration in force, None without one."""
+        configuration = self._view.configuration
+        return configuration.version if configuration else None
+
     def _record_end(self, request, call, outcome, error=None):
         now = self._read_clock()
         seconds = now - request.received_at
@@ -260,6 +266,8 @@
             "outcome": outcome,
             "ms": round(seconds * 1000.0, 1),
         }
+        if call is None:
+            fields["version"] = self._get_version()
         if error is not None:
             fields |= {"detail": error.detail, "run": str(error.outcome)}
         logger.info("request ended", extra=fields)
