Kept connections: judge requests by the limits in force when they begin

What callers saw: after a version that allows larger requests (or a longer idle time), requests on connections that were open before are refused with 413 or 431, or the connection is closed, as the version before says, for up to the idle timeout after the change. Cause: the limits were looked up before the wait for the first byte of a request, which lasts as long as a connection is kept. The class: a decision whose inputs are read before a wait and used after it. Fix: the limits are looked up when a request begins, and the idle timeout again when it has run out.

--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -18,6 +18,7 @@
 from .._http import CallerConnection, Listener
 from .._limits import ConnectionGate, ConnectionTraffic
 from .blocking import find_block
+from .idle_connections import wait_for_request
 from .sources import CallerSource
 
 logger = logging.getLogger("merlinnotch")
@@ -179,19 +180,22 @@
             self._metrics.link_bytes.inc(traffic.finish_request())
 
     def _serve_one(self, connection, traffic):
-        configuration = self._view.configuration
-        limits = configuration.limits if configuration else CallerLimits()
         self._waiting_connections.add(connection)
+        if not wait_for_request(connection, self._get_limits, self._read_clock):
+            return False
+        limits = self._get_limits()
         request = connection.read_request(limits, limits.idle_timeout_s)
         self._waiting_connections.discard(connection)
-        if request is None:
-            return False
         resent_bytes = self.answer(request, connection, self._caller_source)
         traffic.record_resent(resent_bytes)
         # A response started before the shutdown may have announced keep-alive, but
         # the next request on the connection would be cut off.
         return connection.finish() and not self.is_shutting_down
 
+    def _get_limits(self):
+        configuration = self._view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
     def answer(self, request, connection, source):
         """Write the response to a request from *source*, a :class:`RequestSource`.
 
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -65,6 +65,19 @@
         self.response_started = False
         self.is_idle = True
 
+    def wait_for_request(self, idle_timeout_s):
+        """Wait for the first byte of the next request.
+
+        Return whether it has arrived; otherwise the connection has ended. Raises
+        :class:`ConnectionBroken` if the connection fails, and its subclass
+        :class:`ConnectionTimedOut` after *idle_timeout_s*.
+        """
+        self.is_idle = not self._buffer
+        if not self._buffer:
+            self._buffer = self._receive(idle_timeout_s)
+        self.is_idle = False
+        return bool(self._buffer)
+
     def read_request(self, limits, idle_timeout_s):
         """Return the next request, or None at the end of the connection.
 
@@ -72,12 +85,8 @@
         :class:`MalformedMessage` if the request must not be forwarded and
         :class:`ConnectionBroken` if the connection fails or a wait times out.
         """
-        self.is_idle = not self._buffer
-        if not self._buffer:
-            self._buffer = self._receive(idle_timeout_s)
-            if not self._buffer:
-                return None
-        self.is_idle = False
+        if not self.wait_for_request(idle_timeout_s):
+            return None
         received_at = self._read_clock()
         head_end = self._read_head(limits, received_at + limits.header_timeout_s)
         check_raw_head(self._buffer[:head_end])
--- /dev/null
+++ b/tests/gateway/test_idle_connections.py
@@ -0,0 +1,58 @@
+"""Waiting for the next request while the idle timeout changes."""
+
+import dataclasses
+
+import pytest
+
+from merlinnotch._errors import ConnectionTimedOut
+from merlinnotch._fleet import CallerLimits
+from merlinnotch._gateway.idle_connections import wait_for_request
+
+SHORT_S = 2.0
+LONG_S = 10.0
+
+
+class Scene:
+    """A connection on a simulated clock, on which a request begins after a while."""
+
+    def __init__(self, request_at, change_at=None):
+        self.now = 0.0
+        self._request_at = request_at
+        self._change_at = change_at
+
+    def read_clock(self):
+        return self.now
+
+    def get_limits(self):
+        is_changed = self._change_at is not None and self.now >= self._change_at
+        timeout_s = LONG_S if is_changed else SHORT_S
+        return dataclasses.replace(CallerLimits(), idle_timeout_s=timeout_s)
+
+    def wait_for_request(self, idle_timeout_s):
+        if self._request_at <= self.now + idle_timeout_s:
+            self.now = self._request_at
+            return True
+        self.now += idle_timeout_s
+        raise ConnectionTimedOut("idle")
+
+    def wait(self):
+        return wait_for_request(self, self.get_limits, self.read_clock)
+
+
+def test_wait_ends_at_the_idle_timeout():
+    scene = Scene(request_at=SHORT_S + 1.0)
+    with pytest.raises(ConnectionTimedOut):
+        scene.wait()
+    assert scene.now == SHORT_S
+
+
+def test_idle_connection_is_kept_for_a_timeout_that_became_longer():
+    scene = Scene(request_at=LONG_S - 1.0, change_at=1.0)
+    assert scene.wait()
+
+
+def test_longer_timeout_counts_from_the_beginning_of_the_wait():
+    scene = Scene(request_at=LONG_S + 1.0, change_at=1.0)
+    with pytest.raises(ConnectionTimedOut):
+        scene.wait()
+    assert scene.now == LONG_S
