Ask peers while the store is silent to an instance that may lack changes

What callers saw: answers by an old version. Cause: waits that add up. A follower whose two watchers are silent waits for 2.3 s, then watches the store itself for 2.0 s and 0.5 s more, as silence is what a watch usually consists of; only then it asks its peers. The class: several time limits in a row, each sound by itself. Fix: a state that nothing has confirmed for half of the bound is in doubt. The store is then asked to reply at once, so that silence shows, and peers are asked after 0.2 s without waiting for the call to fail. 2.3 + 0.2 + 0.3 s for a dead peer are 2.8 s.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -23,6 +23,12 @@
 MIN_OUTAGE_S = 1.0
 """Failures for at least this long count as an outage, in which leases may have expired.
 After an interrupted watch or lost history the store replies at once."""
+SILENCE_SHARE = 0.5
+"""Share of the time limit for applying changes after which the state is in doubt if
+neither the store nor a watcher has confirmed it."""
+PEER_DELAY_S = 0.2
+"""While the state is in doubt, peers are asked when the store has not replied after
+this time, and again after each further one. A slow store takes as long to reply."""
 RECOVERY_WINDOW_S = 1.0
 """How long after the store's recovery deletions may be expired leases."""
 
@@ -63,6 +69,7 @@
         self._has_full_copy = False
         self._has_watched = False
         self._updated_at = None
+        self._confirmed_at = None
 
     def run(self):
         """Synchronize until the process ends."""
@@ -78,7 +85,10 @@
         if self._follow_watchers():
             return
         try:
-            self._read_store()
+            if self._is_in_doubt():
+                self._read_store_and_ask_peers()
+            else:
+                self._read_store()
         except ChangesExpired:
             logger.info(
                 "store history not available; reading all entries",
@@ -115,6 +125,32 @@
         forwarder.record_applied(forwarded)
         return True
 
+    def _is_in_doubt(self):
+        """Return whether changes may have been missed.
+
+        The store then replies at once if it replies at all, so that its silence shows
+        long before the end of a watch.
+        """
+        if self._failing_since is not None:
+            return True
+        if self._confirmed_at is None:
+            return False
+        silence_s = self._read_clock() - self._confirmed_at
+        return silence_s >= SILENCE_SHARE * self._change_forwarder.in_force_s
+
+    def _read_store_and_ask_peers(self):
+        """Read the store, and ask peers for as long as it doesn't reply."""
+        asking = eventlet.spawn(self._ask_peers_repeatedly)
+        try:
+            self._read_store()
+        finally:
+            asking.kill()
+
+    def _ask_peers_repeatedly(self):
+        while True:
+            eventlet.sleep(PEER_DELAY_S)
+            self._fetch_from_peers()
+
     def _read_store(self):
         since = self._mirror.index
         self._change_forwarder.begin_read()
@@ -140,8 +176,7 @@
             )
 
     def _limit_watch_time(self):
-        # After an outage the first reply has to come at once.
-        if self._failing_since is not None:
+        if self._is_in_doubt():
             return 0.0
         return self._change_forwarder.limit_watch_time(self._watch_s)
 
@@ -158,7 +193,7 @@
                 apply = self._mirror.merge
                 source = UpdateSource.WATCHER
             self._apply(apply, update, source, forwarded)
-        self._record_reply()
+        self._record_reply(forwarded.received_at)
         return True
 
     def _apply(self, apply, update, source, forwarded=None):
@@ -215,10 +250,15 @@
         age_s = self._read_clock() - self._recovered_at
         return age_s if age_s < RECOVERY_WINDOW_S else None
 
-    def _record_reply(self):
+    def _record_reply(self, confirmed_at=None):
+        """Record a reply of the store, or a message that stands for one.
+
+        It shows that nothing is missing as of *confirmed_at*, by default now.
+        """
+        now = self._read_clock()
+        self._confirmed_at = now if confirmed_at is None else confirmed_at
         if self._failing_since is None:
             return
-        now = self._read_clock()
         outage_s = now - self._failing_since
         self._failing_since = None
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
