Apply a peer's state as it arrives, not once all peers have responded

What callers saw: answers by an old version at an instance that the store turns away, for as long as one of the two peers that it asks is frozen. Cause: the newest of two responses was taken, so that a peer that accepts a connection and says nothing (0.8 s), or whose machine is gone (0.3 s), held up the other one's state. Fix: each state is merged as it arrives; the mirror ignores older ones. Evidence: test_peer_that_does_not_respond_delays_no_other_one failed with the old selection.

--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -7,6 +7,7 @@
 
 import cbor2
 import eventlet
+import eventlet.queue
 
 from .._errors import ConnectFailed, ConnectionBroken, MalformedMessage
 from .._fleet.mirror import MirrorUpdate
@@ -44,15 +45,18 @@
         self._generator = generator
 
     def fetch_newer(self, index):
-        """Return the newest :class:`MirrorUpdate` after *index* from some peers, or
-        None."""
-        fetches = eventlet.GreenPile(PEERS_PER_ROUND)
-        for peer in self._sample_peers(PEERS_PER_ROUND):
-            fetches.spawn(self._fetch, peer, index)
-        updates = [
-            update for update in fetches if update is not None and update.index > index
-        ]
-        return max(updates, key=lambda update: update.index, default=None)
+        """Yield the :class:`MirrorUpdate` after *index* of some peers, as they arrive.
+
+        A peer that doesn't respond delays no other one.
+        """
+        responses = eventlet.queue.LightQueue()
+        peers = self._sample_peers(PEERS_PER_ROUND)
+        for peer in peers:
+            eventlet.spawn_n(self._fetch_into, responses, peer, index)
+        for _ in peers:
+            update = responses.get()
+            if update is not None and update.index > index:
+                yield update
 
     def fetch_from(self, address, index):
         """Return the changes after *index* from the peer at *address*, or None."""
@@ -60,6 +64,13 @@
         peer = peers_by_address.get(address)
         return None if peer is None else self._fetch(peer, index)
 
+    def _fetch_into(self, responses, peer, index):
+        update = None
+        try:
+            update = self._fetch(peer, index)
+        finally:
+            responses.put(update)
+
     def _fetch(self, peer, index):
         try:
             data = self._call(peer, "GET", f"{STATE_PATH}?since={index}")
--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -275,6 +275,5 @@
         logger.warning("store unavailable", extra=fields)
 
     def _fetch_from_peers(self):
-        update = self._peers.fetch_newer(self._mirror.index)
-        if update is not None:
+        for update in self._peers.fetch_newer(self._mirror.index):
             self._apply(self._mirror.merge, update, UpdateSource.PEER)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -36,6 +36,31 @@
         self.peers = {"far": PeerAddress("far", "a", address)}
 
 
+class SilentPeer:
+    """Peer that accepts a connection and never responds, like a frozen one.
+
+    *was_left* is set once its client has closed the connection.
+    """
+
+    def __init__(self):
+        self.was_left = False
+        self._socket = socket.socket()
+        self._socket.bind(("127.0.0.1", 0))
+        self._socket.listen()
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._task = eventlet.spawn(self._serve)
+
+    def close(self):
+        self._task.kill()
+        self._socket.close()
+
+    def _serve(self):
+        connection, _ = self._socket.accept()
+        while connection.recv(4096):
+            pass
+        self.was_left = True
+
+
 class SlowPeer:
     """Peer that sends *sent* of the *pieces* of its state, *pause_s* apart."""
 
@@ -72,7 +97,7 @@
     def run(*script):
         peers.append(SlowPeer(*script))
         client = PeerClient("near", View(peers[0].address), read_clock, EntryMetrics())
-        return client.fetch_newer(0)
+        return next(client.fetch_newer(0), None)
 
     yield run
     for peer in peers:
@@ -114,7 +139,8 @@
     def run(respond):
         servers.append(HttpServer("127.0.0.1:0", respond, read_clock))
         view = View(servers[-1].address)
-        return PeerClient("near", view, read_clock, EntryMetrics()).fetch_newer(0)
+        client = PeerClient("near", view, read_clock, EntryMetrics())
+        return next(client.fetch_newer(0), None)
 
     yield run
     for server in servers:
@@ -161,3 +187,16 @@
 def test_invalid_compressed_state_is_ignored(fetch_from, body):
     pairs = [("content-encoding", "deflate")]
     assert fetch_from(lambda request: (200, pairs, body)) is None
+
+
+def test_peer_that_does_not_respond_delays_no_other_one():
+    silent = SilentPeer()
+    server = HttpServer("127.0.0.1:0", lambda request: (200, [], STATE), read_clock)
+    view = View(silent.address)
+    view.peers["other"] = PeerAddress("other", "a", server.address)
+    updates = PeerClient("near", view, read_clock, EntryMetrics()).fetch_newer(0)
+    assert next(updates).index == 7
+    assert not silent.was_left
+    assert list(updates) == []
+    silent.close()
+    server.close()
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -45,7 +45,7 @@
         self.call_count += 1
         update_index = build_index(1, 2)
         item = Item(KEY, b"value", update_index)
-        return MirrorUpdate(update_index, (item,), (KEY,))
+        yield MirrorUpdate(update_index, (item,), (KEY,))
 
 
 class FakeForwarder:
