Fetch missed changes from a watcher only while the store can still be read in time

What callers saw: answers by an old version at an instance whose messages were lost, by up to 2.0 s until the next message, 2.3 s for a fetch that fails and a call to the store, where the bound is 3 s (a sum on paper; no play showed it). Cause: a fetch had a time limit of its own, whatever had passed before it. The class: waits that add up. Fix: it ends where the store has to be read: one validity after the state was last confirmed if messages were lost, otherwise one after the change can have been acknowledged. Evidence: four tests of tests/entry/test_silent_store.py and test_peers.py; there was no such limit before.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -46,7 +46,8 @@
 
     Instances that know the same peers select the same watchers, without an election. An
     instance that receives nothing in time watches the store itself. *in_force_s* is the
-    time limit for applying changes, *stalls* a :class:`StallMonitor`.
+    time limit for applying changes, *stalls* a :class:`StallMonitor`. *validity_s* is
+    how long a state may go unconfirmed until the store has to be read.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         self._read_clock = read_clock
         self.in_force_s = in_force_s
         self._stalls = stalls
-        self._validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
+        self.validity_s = in_force_s - STORE_CALL_ALLOWANCE_S
         self._stalled_before_s = 0.0
         self._valid_from = -math.inf
         self._queue = eventlet.queue.LightQueue(MAX_QUEUED)
@@ -77,13 +78,13 @@
         """Return *watch_s*, limited to the time for which the others wait."""
         if not self._list_recipients():
             return watch_s
-        return min(watch_s, self._validity_s - WATCH_MARGIN_S)
+        return min(watch_s, self.validity_s - WATCH_MARGIN_S)
 
     def get_remaining_validity_s(self, now):
         """Return for how many more seconds applied messages replace a watch."""
         if self.is_watcher():
             return 0.0
-        return max(0.0, self._valid_from + self._validity_s - now)
+        return max(0.0, self._valid_from + self.validity_s - now)
 
     def begin_read(self):
         """Record that a call to the store begins whose reply may be forwarded."""
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 import random
 import zlib
 
@@ -58,11 +59,16 @@
             if update is not None and update.index > index:
                 yield update
 
-    def fetch_from(self, address, index):
-        """Return the changes after *index* from the peer at *address*, or None."""
+    def fetch_from(self, address, index, until):
+        """Return the changes after *index* from the peer at *address*, or None.
+
+        *until* is when the call ends at the latest.
+        """
         peers_by_address = {p.address: p for p in self._view.peers.values()}
         peer = peers_by_address.get(address)
-        return None if peer is None else self._fetch(peer, index)
+        if peer is None or until <= self._read_clock():
+            return None
+        return self._fetch(peer, index, until)
 
     def _fetch_into(self, responses, peer, index):
         update = None
@@ -71,9 +77,9 @@
         finally:
             responses.put(update)
 
-    def _fetch(self, peer, index):
+    def _fetch(self, peer, index, until=math.inf):
         try:
-            data = self._call(peer, "GET", f"{STATE_PATH}?since={index}")
+            data = self._call(peer, "GET", f"{STATE_PATH}?since={index}", until)
             return None if data is None else decode_mirror_update(data)
         except (ValueError, TypeError) as error:
             fields = {"peer": peer.name, "reason": str(error)}
@@ -84,20 +90,19 @@
         candidates = [p for p in self._view.peers.values() if p.name != self._name]
         return self._generator.sample(candidates, min(count, len(candidates)))
 
-    def _call(self, peer, method, path, body=b""):
+    def _call(self, peer, method, path, until):
         self._metrics.peer_calls.labels(path.partition("?")[0]).inc()
-        deadline = self._read_clock() + CALL_TIMEOUT_S
+        deadline = min(until, self._read_clock() + CALL_TIMEOUT_S)
         connection = None
         try:
             connection = UpstreamConnection(
                 peer.address, self._read_clock, CONNECT_TIMEOUT_S
             )
             headers = [("host", peer.address), ("accept-encoding", ENCODING)]
-            connection.send_request(method, path, headers, body, deadline)
+            connection.send_request(method, path, headers, b"", deadline)
             head = connection.read_head(deadline)
-            data = connection.read_body(
-                deadline + EXTRA_BODY_TIMEOUT_S, MAX_STATE_BYTES
-            )
+            deadline = min(until, deadline + EXTRA_BODY_TIMEOUT_S)
+            data = connection.read_body(deadline, MAX_STATE_BYTES)
         except (ConnectFailed, ConnectionBroken, MalformedMessage) as error:
             fields = {"peer": peer.name, "reason": str(error)}
             logger.info("call to peer failed", extra=fields)
--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -165,7 +165,7 @@
                 since, changes.index, changes, self._measure_recovery_age()
             )
             if changes.written or changes.deleted:
-                eventlet.sleep(WATCH_PAUSE_SHARE * self._change_forwarder.in_force_s)
+                eventlet.sleep(self._watch_pause_s)
         else:
             listing = self._store.read(ALL_KEYS_PREFIX, recurse=True)
             self._record_reply()
@@ -187,7 +187,11 @@
                 apply, update = self._mirror.apply, forwarded.changes
                 source = UpdateSource.FORWARDED
             else:
-                update = self._peers.fetch_from(forwarded.sender, self._mirror.index)
+                update = self._peers.fetch_from(
+                    forwarded.sender,
+                    self._mirror.index,
+                    self._compute_fetch_deadline(forwarded),
+                )
                 if update is None or update.index < forwarded.index:
                     return False
                 apply = self._mirror.merge
@@ -196,6 +200,21 @@
         self._record_reply(forwarded.received_at)
         return True
 
+    def _compute_fetch_deadline(self, forwarded):
+        """Return until when missing changes may be fetched from a watcher.
+
+        Reading the store instead is then still in time for them.
+        """
+        acknowledged_at = forwarded.received_at - self._watch_pause_s
+        if forwarded.since > self._mirror.index:
+            # Messages were lost, so that changes may be as old as the state here.
+            acknowledged_at = self._confirmed_at
+        return acknowledged_at + self._change_forwarder.validity_s
+
+    @property
+    def _watch_pause_s(self):
+        return WATCH_PAUSE_SHARE * self._change_forwarder.in_force_s
+
     def _apply(self, apply, update, source, forwarded=None):
         """Apply *update* to the mirror by its method *apply*, and to the view.
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -7,9 +7,11 @@
 import pytest
 from eventlet.green import socket
 
+from merlinnotch._entry import peers
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._entry.metrics import EntryMetrics
 from merlinnotch._entry.peers import (
+    STATE_PATH,
     PeerClient,
     StateEndpoint,
     decode_mirror_update,
@@ -92,15 +94,17 @@
 
 @pytest.fixture
 def fetch():
-    peers = []
+    slow_peers = []
 
     def run(*script):
-        peers.append(SlowPeer(*script))
-        client = PeerClient("near", View(peers[0].address), read_clock, EntryMetrics())
+        slow_peers.append(SlowPeer(*script))
+        client = PeerClient(
+            "near", View(slow_peers[0].address), read_clock, EntryMetrics()
+        )
         return next(client.fetch_newer(0), None)
 
     yield run
-    for peer in peers:
+    for peer in slow_peers:
         peer.close()
 
 
@@ -200,3 +204,34 @@
     assert list(updates) == []
     silent.close()
     server.close()
+
+
+@pytest.fixture
+def silent_peer():
+    peer = SilentPeer()
+    yield peer
+    peer.close()
+
+
+def fetch_until(peer, delay_s):
+    """Fetch the state of *peer* for *delay_s*; return the update and the metrics."""
+    metrics = EntryMetrics()
+    client = PeerClient("near", View(peer.address), read_clock, metrics)
+    return client.fetch_from(peer.address, 0, read_clock() + delay_s), metrics
+
+
+def test_fetch_ends_at_its_deadline(silent_peer, monkeypatch):
+    monkeypatch.setattr(peers, "CALL_TIMEOUT_S", 3600.0)
+    with eventlet.Timeout(30.0):
+        assert fetch_until(silent_peer, 0.05)[0] is None
+
+
+def test_nothing_is_fetched_after_the_deadline(silent_peer):
+    update, metrics = fetch_until(silent_peer, -1.0)
+    assert update is None
+    assert (
+        metrics.registry.get_sample_value(
+            "merlinnotch_peer_calls_total", {"kind": STATE_PATH}
+        )
+        is None
+    )
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -5,7 +5,7 @@
 from eventlet.event import Event
 
 from merlinnotch._entry import store_sync
-from merlinnotch._entry.change_forwarder import STORE_CALL_ALLOWANCE_S
+from merlinnotch._entry.change_forwarder import STORE_CALL_ALLOWANCE_S, ForwardedChanges
 from merlinnotch._entry.metrics import EntryMetrics
 from merlinnotch._entry.peers import CONNECT_TIMEOUT_S
 from merlinnotch._entry.store_sync import PEER_DELAY_S, StoreSync
@@ -14,6 +14,7 @@
 from merlinnotch._store import Changes, Item, Listing, build_index
 
 IN_FORCE_S = 3.0
+VALIDITY_S = IN_FORCE_S - STORE_CALL_ALLOWANCE_S
 KEY = "op/other"
 
 
@@ -40,6 +41,7 @@
 
     def __init__(self):
         self.call_count = 0
+        self.fetched_until = None
 
     def fetch_newer(self, index):
         self.call_count += 1
@@ -47,11 +49,18 @@
         item = Item(KEY, b"value", update_index)
         yield MirrorUpdate(update_index, (item,), (KEY,))
 
+    def fetch_from(self, address, index, until):
+        self.fetched_until = until
+
 
 class FakeForwarder:
     """The forwarder of an instance whose watchers are silent."""
 
     in_force_s = IN_FORCE_S
+    validity_s = VALIDITY_S
+
+    def __init__(self):
+        self.message = None
 
     def is_watcher(self):
         return False
@@ -60,7 +69,11 @@
         return 0.0
 
     def wait(self, wait_s):
-        return None
+        message, self.message = self.message, None
+        return message
+
+    def record_missed(self):
+        pass
 
     def begin_read(self):
         pass
@@ -90,12 +103,13 @@
         self.store = FakeStore()
         self.peers = FakePeers()
         self.mirror = Mirror()
+        self.forwarder = FakeForwarder()
         self.sync = StoreSync(
             self.store,
             self.mirror,
             FakeView(),
             self.peers,
-            FakeForwarder(),
+            self.forwarder,
             lambda: self.now,
             watch_s=2.0,
             metrics=EntryMetrics(),
@@ -158,6 +172,29 @@
     assert scene.peers.call_count == count
 
 
+def make_message(since, received_at):
+    """Return the message of a change that its sender has to be asked for."""
+    index = build_index(1, since + 1)
+    return ForwardedChanges(
+        "peer", build_index(1, since), index, None, None, received_at
+    )
+
+
+def test_store_is_read_in_time_for_the_change_of_a_message(scene):
+    scene.now = 1.0
+    scene.forwarder.message = make_message(since=1, received_at=1.0)
+    run_until_watch(scene).kill()
+    # The watcher may have paused before it read the change.
+    assert scene.peers.fetched_until == 1.0 - 0.1 * IN_FORCE_S + VALIDITY_S
+
+
+def test_store_is_read_in_time_for_the_changes_of_lost_messages(scene):
+    scene.now = 1.0
+    scene.forwarder.message = make_message(since=5, received_at=1.0)
+    run_until_watch(scene).kill()
+    assert scene.peers.fetched_until == VALIDITY_S
+
+
 @pytest.mark.parametrize("in_force_s", [2.0, 3.0])
 def test_waits_until_peers_are_asked_add_up_to_less_than_the_time_limit(in_force_s):
     """A change reaches a follower of silent watchers whose store is silent as well."""
