Limit the watches of an instance without watchers to what is in time

What callers saw: answers by an old version for up to 2.5 s and what follows, where the bound may be 2 s (a sum on paper; no play showed it). Cause: such an instance, as in a zone of two, watched for 2.0 s whatever the bound was; that the store is silent shows 0.5 s after that. The class: waits that add up. Fix: the watch, those 0.5 s and 0.3 s to connect to a peer stay within the bound: 1.2 s for 2 s. It costs such instances 0.8 instead of 0.5 calls a second. Evidence: test_silence_of_the_store_shows_in_time_without_watchers failed for bounds of 2 and 3 s.

--- a/src/merlinnotch/_entry/change_forwarder.py
+++ b/src/merlinnotch/_entry/change_forwarder.py
@@ -16,6 +16,9 @@
 STORE_CALL_ALLOWANCE_S = 0.7
 """Part of the time limit for applying changes that is reserved for a store call once
 the watchers are silent."""
+SILENCE_ALLOWANCE_S = 0.8
+"""Part of the time limit that is left after the watch of an instance without watchers:
+the silence of a store shows 0.5 s later, and a peer may take 0.3 s to connect to."""
 WATCH_MARGIN_S = 0.3
 """A watcher's call returns this long before the others would watch the store."""
 MAX_QUEUED = 64
@@ -75,9 +78,12 @@
         return self._name in rank_names(self._zone, names, WATCHERS_PER_ZONE)
 
     def limit_watch_time(self, watch_s):
-        """Return *watch_s*, limited to the time for which the others wait."""
+        """Return *watch_s*, limited to the time for which the others wait.
+
+        If none do, it is limited to what is in time for this instance.
+        """
         if not self._list_recipients():
-            return watch_s
+            return min(watch_s, self.in_force_s - SILENCE_ALLOWANCE_S)
         return min(watch_s, self.validity_s - WATCH_MARGIN_S)
 
     def get_remaining_validity_s(self, now):
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -5,13 +5,18 @@
 from eventlet.event import Event
 
 from merlinnotch._entry import store_sync
-from merlinnotch._entry.change_forwarder import STORE_CALL_ALLOWANCE_S, ForwardedChanges
+from merlinnotch._entry.change_forwarder import (
+    STORE_CALL_ALLOWANCE_S,
+    ChangeForwarder,
+    ForwardedChanges,
+)
 from merlinnotch._entry.metrics import EntryMetrics
 from merlinnotch._entry.peers import CONNECT_TIMEOUT_S
 from merlinnotch._entry.store_sync import PEER_DELAY_S, StoreSync
 from merlinnotch._errors import StoreUnavailable
 from merlinnotch._fleet.mirror import Mirror, MirrorUpdate
 from merlinnotch._store import Changes, Item, Listing, build_index
+from merlinnotch.platform.store import WATCH_GRACE_S
 
 IN_FORCE_S = 3.0
 VALIDITY_S = IN_FORCE_S - STORE_CALL_ALLOWANCE_S
@@ -85,6 +90,11 @@
         return watch_s
 
 
+class FakeTransport:
+    def handle(self, kind, handler):
+        pass
+
+
 class FakeView:
     configuration = None
 
@@ -172,6 +182,22 @@
     assert scene.peers.call_count == count
 
 
+class Zone:
+    """A view in which this instance is the only one of its zone."""
+
+    def list_present_peers(self):
+        return []
+
+
+@pytest.mark.parametrize("in_force_s", [2.0, 3.0])
+def test_silence_of_the_store_shows_in_time_without_watchers(in_force_s):
+    forwarder = ChangeForwarder(
+        FakeTransport(), "one", "zone-a", "", Zone(), None, in_force_s, None
+    )
+    watch_s = forwarder.limit_watch_time(10.0)
+    assert watch_s + WATCH_GRACE_S + CONNECT_TIMEOUT_S <= in_force_s
+
+
 def make_message(since, received_at):
     """Return the message of a change that its sender has to be asked for."""
     index = build_index(1, since + 1)
