Ask further peers while others say nothing

Cause: rounds one after the other. The class: waits that add up. Fix: each round runs by itself. Evidence: test_peers_are_asked_again_while_others_say_nothing failed before.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -101,7 +101,7 @@
             self._has_watched = False
         except StoreUnavailable as error:
             self._record_failure(error)
-            self._fetch_from_peers()
+            eventlet.spawn_n(self._fetch_from_peers)
             eventlet.sleep(self._retry_delay_s)
             self._retry_delay_s = min(
                 MAX_RETRY_DELAY_S, self._retry_delay_s * RETRY_BACKOFF_FACTOR
@@ -149,7 +149,8 @@
     def _ask_peers_repeatedly(self):
         while True:
             eventlet.sleep(PEER_DELAY_S)
-            self._fetch_from_peers()
+            # A frozen peer would delay the next ones.
+            eventlet.spawn_n(self._fetch_from_peers)
 
     def _read_store(self):
         since = self._mirror.index
@@ -294,5 +295,9 @@
         logger.warning("store unavailable", extra=fields)
 
     def _fetch_from_peers(self):
-        for update in self._peers.fetch_newer(self._mirror.index):
-            self._apply(self._mirror.merge, update, UpdateSource.PEER)
+        try:
+            for update in self._peers.fetch_newer(self._mirror.index):
+                self._apply(self._mirror.merge, update, UpdateSource.PEER)
+        except Exception:
+            # It runs in a thread of its own, whose errors nobody else would see.
+            logger.exception("state of peers not applied")
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -42,14 +42,20 @@
 
 
 class FakePeers:
-    """Peers that know an item that the store wrote at revision 2."""
+    """Peers that know an item that the store wrote at revision 2.
+
+    The first *silent_count* calls to them get no response.
+    """
 
     def __init__(self):
         self.call_count = 0
+        self.silent_count = 0
         self.fetched_until = None
 
     def fetch_newer(self, index):
         self.call_count += 1
+        if self.call_count <= self.silent_count:
+            eventlet.sleep(3600)
         update_index = build_index(1, 2)
         item = Item(KEY, b"value", update_index)
         yield MirrorUpdate(update_index, (item,), (KEY,))
@@ -162,6 +168,16 @@
     thread.kill()
 
 
+def test_peers_are_asked_again_while_others_say_nothing(scene):
+    scene.now = IN_FORCE_S
+    scene.peers.silent_count = 2
+    thread = run_until_watch(scene)
+    with eventlet.Timeout(5.0):
+        while KEY not in scene.mirror.items:
+            eventlet.sleep(0.01)
+    thread.kill()
+
+
 def test_peers_are_no_longer_asked_after_a_reply(scene):
     scene.now = IN_FORCE_S
     thread = run_until_watch(scene)
