End kept connections with a response while the instance is overloaded

While most new connections go to few instances, these collect the kept connections of a region; what comes on them was read in any case, so that all of it was answered late. Cause: the bound on what is accepted counted new connections only. The class: a bound at one of two ways in. Fix: a request on a kept connection counts like a new connection. It is always served; without room, for the processor or the link, its response ends the connection, and the caller's next request is decided on like any new connection.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -18,6 +18,11 @@
             "Times that new connections were refused, by what is overloaded",
             "reason",
         )
+        self.kept_closes = self._counter(
+            "kept_closes",
+            "Kept connections closed with a response, by what is overloaded",
+            "reason",
+        )
         self.retries = self._counter(
             "retries", "Sends that failed, by reason", "reason"
         )
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -186,12 +186,22 @@
         limits = self._get_limits()
         request = connection.read_request(limits, limits.idle_timeout_s)
         self._waiting_connections.discard(connection)
+        if connection.is_kept and not self._admit_on_kept_connection():
+            connection.keep_alive = False
         resent_bytes = self.answer(request, connection, self._caller_source)
         traffic.record_resent(resent_bytes)
         # A response started before the shutdown may have announced keep-alive, but
         # the next request on the connection would be cut off.
         return connection.finish() and not self.is_shutting_down
 
+    def _admit_on_kept_connection(self):
+        """Count a request on a kept connection; return whether to keep it further."""
+        overload = self._find_overload(self._read_clock())
+        self._gate.admit()
+        if overload is not None:
+            self._metrics.kept_closes.labels(overload).inc()
+        return overload is None
+
     def _get_limits(self):
         configuration = self._view.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -47,7 +47,8 @@
 
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
     *record_bytes* is called with the size of each block that is read or written.
-    *is_idle* is set while nothing of the next request has arrived.
+    *is_idle* is set while nothing of the next request has arrived, *is_kept* once a
+    request has been answered and another one may follow.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self.keep_alive = True
         self.response_started = False
         self.is_idle = True
+        self.is_kept = False
 
     def wait_for_request(self, idle_timeout_s):
         """Wait for the first byte of the next request.
@@ -164,6 +166,7 @@
         if self._protocol.their_state is not h11.DONE:
             return False
         self._buffer = self._protocol.trailing_data[0] + self._buffer
+        self.is_kept = True
         return True
 
     def send_error(self, status):
--- a/src/merlinnotch/_limits/connection_gate.py
+++ b/src/merlinnotch/_limits/connection_gate.py
@@ -19,9 +19,13 @@
 class ConnectionGate:
     """Decides whether a new connection is accepted or closed before it is read.
 
-    It answers a load of new connections that exceeds what the process can serve.
-    Without a bound all requests share the processor and are answered late; with it,
-    those that are read are served, and the callers of the others meet another instance.
+    It answers a load of requests that exceeds what the process can serve. Without a
+    bound all requests share the processor and are answered late; with it, those that
+    are read are served, and the callers of the others meet another instance.
+
+    A request on a kept connection counts like a new connection. It is served in any
+    case, as its caller could not tell whether it has run; where there is no room, the
+    connection ends with its response.
 
     The number of connections that are accepted between two beats shrinks with each late
     beat, from the second one in a row on by as much as the beat is late, and grows
@@ -50,9 +54,9 @@
 
     @property
     def has_room(self):
-        """Whether another connection may be accepted before the next beat."""
+        """Whether another connection may be accepted or kept before the next beat."""
         return self._accepted < self._window
 
     def admit(self):
-        """Count a connection that is accepted."""
+        """Count a connection that is accepted, or a request on a kept one."""
         self._accepted += 1
--- a/tests/limits/test_connection_gate.py
+++ b/tests/limits/test_connection_gate.py
@@ -137,3 +137,88 @@
     cost_s = 10.0 * COST_S
     read, answered = play(ConnectionGate(), rate, 10.0, cost_s, reset_cost_s)
     assert answered >= 0.75 * read > 0
+
+
+class KeptCaller:
+    """Sends a request each PERIOD_S on a connection that it keeps while it may.
+
+    Without a connection its requests go elsewhere until it gets a new one.
+    """
+
+    def __init__(self, first_at):
+        self.next_at = first_at
+        self.is_connected = True
+
+
+def admit_on_kept_connection(gate):
+    """Count a request on a kept connection; return whether to keep it further."""
+    has_room = gate.has_room
+    gate.admit()
+    return has_room
+
+
+PERIOD_S = 0.5
+
+
+def play_kept(gate, rate, duration_s=10.0):
+    """Return how many requests on kept connections were read and how many in time.
+
+    All callers are connected at the beginning, as if they had come one by one while
+    each sent little. Requests of the first three seconds don't count.
+    """
+    count = int(rate * PERIOD_S)
+    callers = [KeptCaller(PERIOD_S * number / count) for number in range(count)]
+    now, beat_at = 0.0, 0.0
+    in_progress = []
+    read = answered = 0
+    while now < duration_s:
+        turn_began_at = now
+        if now >= beat_at:
+            gate.record_beat(now)
+            beat_at = now + BEAT_INTERVAL_S
+        for caller in callers:
+            if caller.next_at > now:
+                continue
+            sent_at = caller.next_at
+            caller.next_at = sent_at + PERIOD_S
+            if caller.is_connected:
+                caller.is_connected = admit_on_kept_connection(gate)
+            elif try_accept(gate):
+                caller.is_connected = True
+            else:
+                now += RESET_COST_S
+                continue
+            in_progress.append([sent_at, 0])
+            read += sent_at > 3.0
+        for request in in_progress:
+            now += COST_S / TURNS
+            request[1] += 1
+            is_in_time = now - request[0] <= PATIENCE_S
+            answered += request[1] == TURNS and is_in_time and request[0] > 3.0
+        in_progress = [request for request in in_progress if request[1] < TURNS]
+        now = max(now, turn_began_at + 0.001)
+    return read, answered
+
+
+@pytest.mark.parametrize("rate", [450, 800, 1600, 3000])
+def test_most_requests_on_kept_connections_are_answered_in_time(rate):
+    read, answered = play_kept(ConnectionGate(), rate)
+    assert answered >= 0.75 * read > 0
+
+
+@pytest.mark.parametrize("rate", [450, 800, 1600])
+def test_processor_time_is_used_for_requests_on_kept_connections(rate):
+    _, answered = play_kept(ConnectionGate(), rate)
+    available = (1.0 - RESET_COST_S * rate) / COST_S
+    assert answered >= 0.6 * 7.0 * min(rate, available)
+
+
+@pytest.mark.parametrize("rate", [450, 800, 1600])
+def test_without_a_bound_no_request_on_a_kept_connection_is_answered_in_time(rate):
+    read, answered = play_kept(EveryConnection(), rate)
+    assert answered < 0.05 * read
+
+
+def test_connections_are_kept_under_usual_load(gate):
+    record_beats(gate, 100, 0.0)
+    assert all(admit_on_kept_connection(gate) for _ in range(20))
