Connections: a sender that never pauses no longer holds up other tasks

Cause: a read returned at once while bytes were there, and a block of bytes holds thousands of chunks or events, so that neither other tasks nor timers ran and the deadline was looked at between blocks only. Splitting a block into events copied and searched it once for each event. The class: a bound on silence and none on noise. Fix: a read that didn't have to wait is followed by a turn of the others, before the next read; so is each 64th part of a response, where the deadline is checked as well. Events are searched once. Evidence: tests/gateway/test_endless_responses.py, upstreams in a process of their own.

--- a/src/merlinnotch/_gateway/events.py
+++ b/src/merlinnotch/_gateway/events.py
@@ -1,11 +1,14 @@
 """Splitting of event streams at event boundaries."""
 
+import re
 from dataclasses import dataclass
 
 from .._errors import ConnectionBroken
 
 MAX_EVENT_BYTES = 1 << 20
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+MAX_END_BYTES = 4
+"""Length of the longest EVENT_END."""
 
 
 @dataclass(frozen=True)
@@ -23,7 +26,8 @@
     """Splits a body into complete events and buffers an incomplete one."""
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     def feed(self, data):
         """Return the events completed by *data*.
@@ -33,12 +37,12 @@
         """
         self._buffer += data
         events = []
-        while True:
-            end = _find_event_end(self._buffer)
-            if end < 0:
-                break
-            events.append(_parse_event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        begin = 0
+        while match := EVENT_END.search(self._buffer, max(begin, self._searched)):
+            events.append(_parse_event(bytes(self._buffer[begin : match.end()])))
+            begin = match.end()
+        del self._buffer[:begin]
+        self._searched = max(0, len(self._buffer) - MAX_END_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ConnectionBroken("event exceeds the size limit")
         return events
@@ -46,7 +50,7 @@
     @property
     def remainder(self):
         """The bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def finish(self):
         """Return the line ends after the last event, at the end of the stream.
@@ -58,16 +62,7 @@
             raise ConnectionBroken(
                 f"stream ended {len(self._buffer)} bytes into an event"
             )
-        return self._buffer
-
-
-def _find_event_end(buffer):
-    ends = [
-        index + len(terminator)
-        for terminator in EVENT_TERMINATORS
-        if (index := buffer.find(terminator)) >= 0
-    ]
-    return min(ends, default=-1)
+        return self.remainder
 
 
 def _parse_event(data):
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -9,7 +9,7 @@
 from .._errors import CallerDisconnected, ConnectionBroken, MalformedMessage
 from .fields import Fields
 from .head import END_OF_HEAD, check_framing, check_raw_head
-from .sockets import close_quietly, receive, reset_on_close, send, shut_down
+from .sockets import Receiver, close_quietly, reset_on_close, send, shut_down
 
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
@@ -55,6 +55,7 @@
         self, sock, read_clock, write_timeout_s, record_bytes=lambda size: None
     ):
         self._sock = sock
+        self._receiver = Receiver(sock)
         self._read_clock = read_clock
         self._write_timeout_s = write_timeout_s
         self._record_bytes = record_bytes
@@ -223,7 +224,7 @@
             raise MalformedMessage(str(error)) from error
 
     def _receive(self, timeout_s):
-        data = receive(self._sock, timeout_s)
+        data = self._receiver.receive(timeout_s)
         self._record_bytes(len(data))
         return data
 
--- a/src/merlinnotch/_http/sockets.py
+++ b/src/merlinnotch/_http/sockets.py
@@ -73,6 +73,30 @@
     return eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
 
 
+class Receiver:
+    """Reads from *sock*, whose sender may never pause.
+
+    Each read that didn't have to wait is followed by a turn of the other tasks.
+    """
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._was_ready = False
+
+    def receive(self, timeout_s):
+        """Return the next bytes like :func:`receive`."""
+        if self._was_ready:
+            # Before the read, as bytes in hand would be lost if the task ended here.
+            eventlet.sleep(0)
+        self._was_ready = True
+        if timeout_s > -LATE_READ_S:
+            data = _receive_ready(self._sock)
+            if data is not None:
+                return data
+            self._was_ready = False
+        return receive(self._sock, timeout_s)
+
+
 def receive(sock, timeout_s):
     """Return the next bytes, or b"" at the end of the stream.
 
@@ -85,15 +109,23 @@
     if timeout_s <= -LATE_READ_S:
         raise ConnectionTimedOut("read timed out")
     while True:
-        try:
-            return sock.fd.recv(RECEIVE_SIZE_BYTES)
-        except BlockingIOError:
-            if timeout_s <= 0:
-                raise ConnectionTimedOut("read timed out") from None
-            _wait_until_readable(sock, timeout_s)
-        except OSError as error:
-            kind = PathLost if error.errno == errno.ETIMEDOUT else ConnectionBroken
-            raise kind(f"read failed: {error}") from error
+        data = _receive_ready(sock)
+        if data is not None:
+            return data
+        if timeout_s <= 0:
+            raise ConnectionTimedOut("read timed out")
+        _wait_until_readable(sock, timeout_s)
+
+
+def _receive_ready(sock):
+    """Return the bytes that have arrived, b"" at the end, or None if there are none."""
+    try:
+        return sock.fd.recv(RECEIVE_SIZE_BYTES)
+    except BlockingIOError:
+        return None
+    except OSError as error:
+        kind = PathLost if error.errno == errno.ETIMEDOUT else ConnectionBroken
+        raise kind(f"read failed: {error}") from error
 
 
 def _wait_until_readable(sock, timeout_s):
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -6,13 +6,14 @@
 import eventlet
 import h11
 
-from .._errors import ConnectionBroken, MalformedMessage
+from .._errors import ConnectionBroken, ConnectionTimedOut, MalformedMessage
 from .fields import Fields
 from .sockets import (
+    LATE_READ_S,
+    Receiver,
     close_quietly,
     is_open_without_input,
     open_connection,
-    receive,
     send,
     shut_down,
 )
@@ -21,6 +22,9 @@
 """Up to this size, a request is written before its response is read. A larger one is
 written in the background, as an upstream may respond before it has read it."""
 MAX_HEAD_BYTES = 65536
+MAX_EVENTS_PER_TURN = 64
+"""Parts of a response after which other tasks run and the deadline is checked. A block
+of bytes may hold thousands."""
 
 
 class Framing(enum.StrEnum):
@@ -60,6 +64,8 @@
         self.address = address
         self._read_clock = read_clock
         self._sock = open_connection(address, connect_timeout_s, source_host)
+        self._receiver = Receiver(self._sock)
+        self._turn_events = 0
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -172,18 +178,29 @@
 
     def _next_event(self, deadline):
         while True:
+            self._limit_turn(deadline)
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise ConnectionBroken(f"malformed response: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            data = receive(self._sock, deadline - self._read_clock())
+            data = self._receiver.receive(deadline - self._read_clock())
+            self._turn_events = 0
             if self._is_aborted:
                 raise ConnectionBroken("upstream restarted")
             self._must_close = self._must_close or not data
             self._protocol.receive_data(data)
 
+    def _limit_turn(self, deadline):
+        self._turn_events += 1
+        if self._turn_events <= MAX_EVENTS_PER_TURN:
+            return
+        self._turn_events = 0
+        eventlet.sleep(0)
+        if self._read_clock() >= deadline + LATE_READ_S:
+            raise ConnectionTimedOut("read timed out")
+
     def _apply_connection_fields(self, fields):
         if fields.has_token("connection", "close"):
             self._must_close = True
--- /dev/null
+++ b/tests/gateway/test_endless_responses.py
@@ -0,0 +1,99 @@
+"""Upstreams that answer with the right seal and id and then never stop."""
+
+import sys
+
+import eventlet
+import pytest
+from eventlet.green import subprocess
+
+from standins.platform_upstream import make_answer_script, make_stream_script
+from tests.gateway.endless_upstream import KINDS
+from tests.platform_world import PLAIN_PATH, STREAM_PATH
+
+STREAM_KINDS = ("event", "small events")
+LATE_KINDS = ("small events", "tiny chunks")
+"""Responses that are not known to be endless before their deadline."""
+CALLERS = 4
+DEADLINE_MS = "3000"
+
+
+@pytest.fixture
+def start_endless():
+    """Return a function that starts an endless upstream and returns its address."""
+    processes = []
+
+    def start_endless(kind):
+        process = subprocess.Popen(
+            [sys.executable, "-m", "tests.gateway.endless_upstream", kind],
+            stdout=subprocess.PIPE,
+        )
+        processes.append(process)
+        return process.stdout.readline().decode().strip()
+
+    yield start_endless
+    for process in processes:
+        process.kill()
+        process.wait()
+
+
+@pytest.fixture
+def add_endless(world, start_endless):
+    """Return a function that lists an endless upstream for the requests of its kind."""
+
+    def add_endless(kind):
+        service = "engines" if kind in STREAM_KINDS else "app"
+        world.list_upstream("i-endless", service, start_endless(kind))
+
+    return add_endless
+
+
+def send(caller, kind, **fields):
+    path = STREAM_PATH if kind in STREAM_KINDS else PLAIN_PATH
+    return caller.send(path, "POST", b"x", x_deadline_ms=DEADLINE_MS, **fields)
+
+
+def send_at_once(caller, kind, count=CALLERS):
+    """Return the threads of *count* requests of *kind*."""
+    return [eventlet.spawn(send, caller, kind) for _ in range(count)]
+
+
+def name_cases(kinds):
+    return [pytest.param(kind, id=kind) for kind in kinds]
+
+
+@pytest.mark.parametrize("kind", name_cases(KINDS))
+def test_endless_response_does_not_look_complete(world, caller, add_endless, kind):
+    add_endless(kind)
+    for thread in send_at_once(caller, kind):
+        response = thread.wait()
+        assert response.status in (502, 504) or not response.is_complete
+
+
+@pytest.mark.parametrize("good_count", [1, 3])
+@pytest.mark.parametrize("kind", name_cases(k for k in KINDS if k not in LATE_KINDS))
+def test_callers_of_an_endless_response_are_served_by_another_upstream(
+    world, caller, add_endless, kind, good_count
+):
+    add_endless(kind)
+    is_stream = kind in STREAM_KINDS
+    script = make_stream_script() if is_stream else make_answer_script()
+    for number in range(good_count):
+        world.add_upstream(f"i-{number}", script, "engines" if is_stream else "app")
+    for thread in send_at_once(caller, kind):
+        response = thread.wait()
+        assert response.status == 200
+        assert response.is_complete
+
+
+def test_other_callers_are_answered_during_an_endless_stream(
+    world, caller, add_endless
+):
+    add_endless("small events")
+    world.add_upstream("i-other")
+    threads = send_at_once(caller, "small events")
+    eventlet.sleep(0.2)
+    assert caller.send(PLAIN_PATH).status == 200
+    # A stalled instance answers only after the deadline of the streams.
+    assert not any(thread.dead for thread in threads)
+    for thread in threads:
+        thread.wait()
