Streams: end those that go on beyond what their request asked for

Cause: a stream was bounded by pauses, order and time, not by its length. The class: a bound on silence and none on noise. Fix: a stream has at most two events for each token that its caller expects and 16 more, and 16 MB. Beyond it the upstream has failed, which counts against its version; if events were delivered, the response is cut off and nothing is appended, otherwise another upstream may follow.

--- a/src/merlinnotch/_errors/exceptions.py
+++ b/src/merlinnotch/_errors/exceptions.py
@@ -98,6 +98,13 @@
     """Sent bytes were not acknowledged: the path to the host, or the host, is down."""
 
 
+class ResponseTooLong(ConnectionBroken):
+    """A response goes on beyond what its request can have asked for.
+
+    What was delivered of it is worthless, so that nothing may be appended to it.
+    """
+
+
 class MalformedMessage(TransportError):
     """The peer sent a message that is invalid or can't be forwarded.
 
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -14,6 +14,7 @@
     MalformedMessage,
     Outcome,
     RequestRefused,
+    ResponseTooLong,
 )
 from .._placement import PlacementRequest
 from .attempt import MAX_BUFFERED_BYTES, NotRun
@@ -114,7 +115,7 @@
             return self._parts.relayer.send(call, connection, peer)
         except (ConnectionBroken, MalformedMessage) as error:
             self._parts.metrics.retries.labels("relay broken").inc()
-            if not call.is_retryable:
+            if not _is_retryable(call, error):
                 now = self._read_clock()
                 raise self._build_failure_error(call, now) from error
         return False
@@ -162,7 +163,7 @@
                 self._results.record_failed_attempt(call, upstream, error, now)
             call.tried_starts.add(upstream.start)
             self._record_failed_send(call, upstream, "broken", error)
-            if not call.is_retryable:
+            if not _is_retryable(call, error):
                 raise self._build_failure_error(call, now) from error
         finally:
             load.in_flight -= 1
@@ -388,6 +389,12 @@
         return RequestRefused(kind, ", ".join(call.reasons), outcome)
 
 
+def _is_retryable(call, error):
+    """Return whether another attempt may follow one that failed with *error*."""
+    is_worthless = isinstance(error, ResponseTooLong) and call.events_sent > 0
+    return call.is_retryable and not is_worthless
+
+
 def _log_long_prompt(call, upstream, estimate):
     fields = _build_log_fields(call, upstream)
     fields["reading_ms"] = round(estimate.prefill_ms)
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -1,6 +1,6 @@
 """Relaying of event streams."""
 
-from .._errors import ConnectionBroken
+from .._errors import ConnectionBroken, ResponseTooLong
 from .._http import Framing
 from .events import EventSplitter
 from .reachability import compute_check_interval_s
@@ -11,6 +11,14 @@
 """Multiple of the pause goal after which a stream without data is aborted. It tolerates
 the pauses of engines under load."""
 
+MIN_EVENTS_LIMIT = 16
+"""Allows for events without tokens, as at the end of a stream."""
+EVENTS_PER_TOKEN = 2
+"""An event holds at least one token; the count that the caller expects may be exceeded
+somewhat."""
+MAX_STREAM_BYTES = 16 << 20
+"""Limit for streams whose callers expect no count of tokens."""
+
 
 class StreamRelay:
     """Relays complete events, each once and in order.
@@ -40,14 +48,16 @@
         self._reader = reader
         self._check_interval_s = compute_check_interval_s(call.route.pause_goal_s)
         self._last_write_at = None
+        self._byte_count = 0
         self._stall_timeout_s = max(MIN_STALL_S, STALL_FACTOR * call.route.pause_goal_s)
 
     def run(self, attempt):
         """Relay the response of *attempt* to its end.
 
         Raises :class:`ConnectionBroken` if it breaks off, stalls or ends inside an
-        event, and :class:`CallerDisconnected` if the caller disconnects. The connection
-        to the upstream is closed in all cases.
+        event, its subclass :class:`ResponseTooLong` if it seems to have no end, and
+        :class:`CallerDisconnected` if the caller disconnects. The connection to the
+        upstream is closed in all cases.
         """
         splitter = EventSplitter()
         self._last_write_at = None
@@ -77,6 +87,7 @@
         last_id = self._call.last_event_id
         for event in events:
             last_id = _check_order(event, last_id)
+        self._check_length(events)
         data = self._encode_head(attempt)
         data += self._connection.encode_data(b"".join(e.data for e in events))
         self._connection.write(data)
@@ -85,6 +96,18 @@
         now = self._read_clock()
         self._record_timing(attempt, len(events), now)
 
+    def _check_length(self, events):
+        """Raise :class:`ResponseTooLong` if the stream goes on beyond all bounds.
+
+        None of its further events is delivered.
+        """
+        self._byte_count += sum(len(event.data) for event in events)
+        event_count = self._call.events_sent + len(events)
+        tokens = self._call.headers.tokens_out
+        limit = MIN_EVENTS_LIMIT + EVENTS_PER_TOKEN * tokens
+        if self._byte_count > MAX_STREAM_BYTES or (tokens and event_count > limit):
+            raise ResponseTooLong(f"stream goes on after {event_count} events")
+
     def _record_timing(self, attempt, event_count, now):
         call = self._call
         if call.first_event_at is None:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -6,7 +6,12 @@
 import pytest
 from eventlet.green import subprocess
 
-from standins.platform_upstream import make_answer_script, make_stream_script
+from merlinnotch._gateway.stream import EVENTS_PER_TOKEN, MIN_EVENTS_LIMIT
+from standins.platform_upstream import (
+    make_answer_script,
+    make_stream_script,
+    write_stream,
+)
 from tests.gateway.endless_upstream import KINDS
 from tests.platform_world import PLAIN_PATH, STREAM_PATH
 
@@ -97,3 +102,62 @@
     assert not any(thread.dead for thread in threads)
     for thread in threads:
         thread.wait()
+
+
+TOKEN_COUNTS = "10,20"
+MAX_EVENTS = MIN_EVENTS_LIMIT + EVENTS_PER_TOKEN * 20
+
+
+def send_with_token_counts(caller):
+    """Return the threads of requests that expect few tokens."""
+    return [
+        eventlet.spawn(send, caller, "small events", x_token_counts=TOKEN_COUNTS)
+        for _ in range(CALLERS)
+    ]
+
+
+def test_endless_stream_is_cut_off_beyond_the_tokens_that_were_asked_for(
+    world, caller, add_endless
+):
+    add_endless("small events")
+    for thread in send_with_token_counts(caller):
+        response = thread.wait()
+        assert response.body.count(b"data:") <= MAX_EVENTS
+        assert response.status != 200 or not response.is_complete
+
+
+def test_callers_of_too_many_events_are_served_by_another_upstream(
+    world, caller, add_endless
+):
+    add_endless("small events")
+    world.add_upstream("i-good", make_stream_script(), "engines")
+    for thread in send_with_token_counts(caller):
+        response = thread.wait()
+        assert response.status == 200
+        assert response.is_complete
+
+
+def make_growing_stream(count):
+    """Return a script that streams *count* events, each by itself."""
+
+    def script(request, write):
+        events = [(n, b"id: %d\ndata: piece\n\n" % n) for n in range(1, count + 1)]
+        return write_stream(request, write, events, pause_s=0.001)
+
+    return script
+
+
+def test_nothing_is_appended_to_a_stream_of_too_many_events(world, caller):
+    for upstream_id in ("i-1", "i-2"):
+        world.add_upstream(upstream_id, make_growing_stream(2 * MAX_EVENTS), "engines")
+    response = send(caller, "small events", x_token_counts=TOKEN_COUNTS)
+    assert not response.is_complete
+    assert response.body.count(b"data:") <= MAX_EVENTS
+    assert sum(len(upstream.requests) for upstream in world.upstreams.values()) == 1
+
+
+def test_stream_of_as_many_events_as_tokens_is_complete(world, caller):
+    world.add_upstream("i-1", make_growing_stream(20), "engines")
+    response = send(caller, "small events", x_token_counts=TOKEN_COUNTS)
+    assert response.is_complete
+    assert response.body.count(b"data:") == 20
