Upstream connections: bound interim responses

Cause: interim responses were skipped without a bound in number or time of their own. The class: a bound on silence and none on noise. Fix: more than eight in one exchange break it, so that the upstream has failed and another one may be tried. Evidence: test_nothing_but_interim_responses_is_a_failure_of_the_upstream (504 before, 502 after).

--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -22,6 +22,8 @@
 """Up to this size, a request is written before its response is read. A larger one is
 written in the background, as an upstream may respond before it has read it."""
 MAX_HEAD_BYTES = 65536
+MAX_INTERIM_RESPONSES = 8
+"""A server sends one or two before a response."""
 MAX_EVENTS_PER_TURN = 64
 """Parts of a response after which other tasks run and the deadline is checked. A block
 of bytes may hold thousands."""
@@ -66,6 +68,7 @@
         self._sock = open_connection(address, connect_timeout_s, source_host)
         self._receiver = Receiver(self._sock)
         self._turn_events = 0
+        self._interim_count = 0
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -79,6 +82,7 @@
     def send_request(self, method, target, pairs, body, deadline):
         """Send a request, with a Content-Length field if it may have a body."""
         self.exchange_count += 1
+        self._interim_count = 0
         headers = list(pairs)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(body))))
@@ -93,10 +97,16 @@
             self._send_thread = eventlet.spawn(self._send_in_background, data, deadline)
 
     def read_head(self, deadline):
-        """Return the :class:`ResponseHead`, skipping informational responses."""
+        """Return the :class:`ResponseHead`, skipping informational responses.
+
+        Raises :class:`ConnectionBroken` if there are too many of them.
+        """
         while True:
             event = self._next_event(deadline)
             if isinstance(event, h11.InformationalResponse):
+                self._interim_count += 1
+                if self._interim_count > MAX_INTERIM_RESPONSES:
+                    raise ConnectionBroken("too many interim responses")
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionBroken("connection closed before the response head")
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -90,6 +90,15 @@
         assert response.is_complete
 
 
+def test_nothing_but_interim_responses_is_a_failure_of_the_upstream(
+    world, caller, add_endless
+):
+    add_endless("interim responses")
+    # Not 504: the upstream has failed long before the deadline.
+    for thread in send_at_once(caller, "interim responses"):
+        assert thread.wait().status == 502
+
+
 def test_other_callers_are_answered_during_an_endless_stream(
     world, caller, add_endless
 ):
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -9,6 +9,7 @@
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._errors import ConnectFailed, ConnectionBroken
 from merlinnotch._http import UpstreamConnection, UpstreamPool, call
+from merlinnotch._http.upstream import MAX_INTERIM_RESPONSES
 from standins.platform_upstream import (
     StandInUpstream,
     hang,
@@ -170,3 +171,30 @@
     eventlet.spawn_after(0.1, pool.abort, "u")
     with pytest.raises(ConnectionBroken):
         exchange(connection, timeout_s=20.0)
+
+
+def make_interim_script(count):
+    """Return a script that answers after *count* interim responses."""
+
+    def script(request, write):
+        for _ in range(count):
+            write(b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")
+        write(make_answer(request))
+        return True
+
+    return script
+
+
+def test_interim_responses_are_skipped_in_each_exchange(start_upstream):
+    upstream = start_upstream(make_interim_script(MAX_INTERIM_RESPONSES))
+    connection = UpstreamConnection(upstream.address, read_clock, 1.0)
+    for _ in range(3):
+        assert exchange(connection, timeout_s=30.0)[1] == b"done"
+        assert connection.make_reusable(read_clock())
+
+
+def test_too_many_interim_responses_break_the_exchange(start_upstream):
+    upstream = start_upstream(make_interim_script(MAX_INTERIM_RESPONSES + 1))
+    connection = UpstreamConnection(upstream.address, read_clock, 1.0)
+    with pytest.raises(ConnectionBroken, match="interim"):
+        exchange(connection, timeout_s=30.0)
