Bound what an instance holds of requests and responses together

What callors saw: 40 responses without end at once take 108 MB (one process on stand-ins, content-length of 10^18), which ends an instance of 128 MB and with it all requests in progress; many large sound responses or bodies do the same, and a body in tiny chunks takes many times its size. Cause: each response was bounded by itself (16 MB), and each request body. The class: a bound for each and none for all. Fix: one budget, a tenth of the memory that the settings give, for bodies of requests, responses and incomplete events, for callers and peers alike. Beyond it the largest response that is still arriving is ended; what arrives is refused if there is none that is larger (503, not run, for a request). Complete responses are kept until they are delivered. What is larger than 64 KB leaves a quarter to the others. Bodies grow in one block, not in a list of parts.

--- a/src/merlinnotch/_entry/gateway_parts.py
+++ b/src/merlinnotch/_entry/gateway_parts.py
@@ -54,6 +54,7 @@
     counts,
     relayer,
     metrics,
+    memory,
     generator,
     started_at,
 ):
@@ -159,6 +160,7 @@
         crash_detector=crash_detector,
         version_counts=counts,
         metrics=metrics,
+        memory=memory,
         read_clock=read_clock,
     )
 
--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -85,6 +85,11 @@
             "Bytes a second that the network link carries, 0 if unknown",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "merlinnotch_held_bytes",
+            "Bytes of requests and responses in memory",
+            registry=self.registry,
+        )
         self.version = Gauge(
             "merlinnotch_configuration_version",
             "Version of the configuration in force",
--- a/src/merlinnotch/_entry/peer_server.py
+++ b/src/merlinnotch/_entry/peer_server.py
@@ -16,11 +16,11 @@
     """
 
     def __init__(
-        self, address, state_endpoint, relay_endpoint, read_clock, record_bytes
+        self, address, state_endpoint, relay_endpoint, read_clock, record_bytes, memory
     ):
         self._relay_endpoint = relay_endpoint
         super().__init__(
-            address, state_endpoint.respond, read_clock, LIMITS, record_bytes
+            address, state_endpoint.respond, read_clock, LIMITS, record_bytes, memory
         )
 
     def answer(self, request, connection, remote_host):
--- a/src/merlinnotch/_entry/process.py
+++ b/src/merlinnotch/_entry/process.py
@@ -18,7 +18,12 @@
     ServiceChecker,
 )
 from .._http import HttpServer, UpstreamPool
-from .._limits import BEAT_INTERVAL_S, LinkBudget, measure_wire_bytes
+from .._limits import (
+    BEAT_INTERVAL_S,
+    LinkBudget,
+    MemoryBudget,
+    measure_wire_bytes,
+)
 from .._placement import LoadPolicy, LoadTable, RampUp, WorkTimes
 from .._rate_limits import LimitBook, PermitSchedule
 from .._relay import RelayPeers
@@ -99,6 +104,7 @@
         self._peer_client = PeerClient(name, self.view, read_clock, self.metrics)
         instance = settings.instance
         self._link_budget = LinkBudget(settings.link.bytes_per_s)
+        self.memory = MemoryBudget(settings.memory.usable_bytes)
         self.datagrams = DatagramTransport(
             instance.peer_address, self._record_peer_bytes
         )
@@ -233,9 +239,11 @@
                 self.relay_exchange,
                 self._peer_pool,
                 self.metrics,
+                self.memory,
                 read_clock,
             ),
             self.metrics,
+            self.memory,
             self._generator,
             self._started_at,
         )
@@ -259,6 +267,7 @@
                 relay_endpoint,
                 read_clock,
                 self._record_peer_bytes,
+                self.memory,
             ),
             HttpServer(instance.metrics_address, self._respond_metrics, read_clock),
         ]
@@ -420,6 +429,7 @@
         for window in self.ramp_up.list_windows():
             gauge = self.metrics.ramp_up_window.labels(window.upstream.id)
             gauge.set(window.size)
+        self.metrics.held_bytes.set(self.memory.held_bytes)
         text = generate_latest(self.metrics.registry)
         return OK, [("content-type", "text/plain; version=0.0.4")], text
 
--- a/src/merlinnotch/_entry/settings.py
+++ b/src/merlinnotch/_entry/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .._errors import InvalidSettings
+from .._limits.memory_budget import USABLE_SHARE
 from .._placement import Feature, Mode
 from ..platform import is_under_pressure
 
@@ -102,6 +103,17 @@
         return self.mbps * 1e6 / 8
 
 
+class MemorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Memory of the process, *mb* million bytes; 0 means unknown."""
+
+    mb: Count = 0.0
+
+    @property
+    def usable_bytes(self):
+        """Limit on what is held of requests and responses, 0 without one."""
+        return USABLE_SHARE * self.mb * 1e6
+
+
 class CascadeTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Value of 1,000 answer tokens, in the unit of the models' costs."""
 
@@ -154,6 +166,7 @@
     warm_up: WarmUpSettings = WarmUpSettings()
     logs: LogSettings = LogSettings()
     link: LinkSettings = LinkSettings()
+    memory: MemorySettings = MemorySettings()
     load: LoadSettings = LoadSettings()
 
 
--- a/src/merlinnotch/_errors/exceptions.py
+++ b/src/merlinnotch/_errors/exceptions.py
@@ -105,6 +105,10 @@
     """
 
 
+class MemoryExhausted(ConnectionBroken):
+    """There is no memory for more of a request or response that is arriving."""
+
+
 class MalformedMessage(TransportError):
     """The peer sent a message that is invalid or can't be forwarded.
 
--- a/src/merlinnotch/_gateway/events.py
+++ b/src/merlinnotch/_gateway/events.py
@@ -47,6 +47,11 @@
             raise ConnectionBroken("event exceeds the size limit")
         return events
 
+    @property
+    def size(self):
+        """The number of bytes after the last complete event."""
+        return len(self._buffer)
+
     @property
     def remainder(self):
         """The bytes after the last complete event."""
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -12,6 +12,7 @@
     ConnectionTimedOut,
     ErrorKind,
     MalformedMessage,
+    MemoryExhausted,
     Outcome,
     RequestRefused,
     ResponseTooLong,
@@ -155,7 +156,7 @@
             self._record_failed_send(call, upstream, error.reason, error)
         except (ConnectionBroken, MalformedMessage) as error:
             now = self._read_clock()
-            if not isinstance(error, ConnectionTimedOut):
+            if not isinstance(error, (ConnectionTimedOut, MemoryExhausted)):
                 was_abandoned = False
                 self._parts.crash_detector.record_connection_lost(call.run)
             self._parts.prober.mark_unreachable(upstream, error)
@@ -272,11 +273,18 @@
 
     def _deliver_buffered(self, call, connection, attempt):
         """Read the complete response, then forward it or return False to retry."""
+        with self._parts.memory.hold(attempt.connection.make_room) as holding:
+            return self._read_and_deliver(call, connection, attempt, holding)
+
+    def _read_and_deliver(self, call, connection, attempt, holding):
         try:
-            body = attempt.connection.read_body(call.deadline, MAX_BUFFERED_BYTES)
+            body = attempt.connection.read_body(
+                call.deadline, MAX_BUFFERED_BYTES, holding.resize
+            )
         except BaseException:
             attempt.connection.close()
             raise
+        holding.settle()
         self._parts.pool.release(attempt.upstream.start, attempt.connection)
         self._parts.crash_detector.record_answered(call.run)
         if attempt.response_info.encoded:
@@ -315,6 +323,7 @@
             self._read_clock,
             self._record_gap,
             self._parts.reader,
+            self._parts.memory,
         )
         relay.run(attempt)
         self._parts.crash_detector.record_answered(call.run)
--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -10,6 +10,7 @@
     CallerDisconnected,
     ErrorKind,
     MalformedMessage,
+    MemoryExhausted,
     Outcome,
     RequestRefused,
     TransportError,
@@ -31,6 +32,9 @@
 READY_POLL_INTERVAL_S = 0.01
 OVERLOAD_LOG_PAUSE_S = 10.0
 """An overload is logged if no connections were refused for this long before."""
+NO_MEMORY_STATUS = 503
+NO_MEMORY_RETRY_AFTER_S = 1
+"""Responses, which hold most of the memory, take less than a second."""
 WRITE_TIMEOUT_S = 10.0
 """A connection is closed if the caller accepts no bytes for this long."""
 
@@ -50,6 +54,7 @@
         self._caller_source = CallerSource()
         self._view = parts.view
         self._metrics = parts.metrics
+        self._memory = parts.memory
         self._read_clock = parts.read_clock
         self._generator = generator
         self._waiting_connections = set()
@@ -162,7 +167,7 @@
     def _serve(self, sock):
         traffic = ConnectionTraffic(self._link_budget)
         connection = CallerConnection(
-            sock, self._read_clock, WRITE_TIMEOUT_S, traffic.record
+            sock, self._read_clock, WRITE_TIMEOUT_S, traffic.record, self._memory
         )
         try:
             while self._serve_one(connection, traffic):
@@ -172,6 +177,10 @@
             fields = {"detail": str(error), "version": self._get_version()}
             logger.info("malformed request", extra=fields)
             connection.send_error(error.status)
+        except MemoryExhausted as error:
+            self._metrics.refusals.labels("memory").inc()
+            logger.info("request not read", extra={"detail": str(error)})
+            connection.send_error(NO_MEMORY_STATUS, NO_MEMORY_RETRY_AFTER_S)
         except TransportError as error:
             logger.debug("connection ended", extra={"detail": str(error)})
         finally:
--- a/src/merlinnotch/_gateway/parts.py
+++ b/src/merlinnotch/_gateway/parts.py
@@ -4,6 +4,7 @@
 
 from .._fleet.view import FleetView
 from .._http import UpstreamPool
+from .._limits import MemoryBudget
 from .._placement import (
     CascadePolicy,
     EventGapBaselines,
@@ -65,6 +66,7 @@
     crash_detector: object
     version_counts: AnswerCounts
     metrics: object
+    memory: MemoryBudget
     read_clock: object
 
     def select_forwarded_fields(self, head):
--- a/src/merlinnotch/_gateway/relay.py
+++ b/src/merlinnotch/_gateway/relay.py
@@ -36,10 +36,12 @@
     """Sends calls to peers, which forward them like the requests of their own callers.
 
     The peer retries and evaluates; here nothing is held against an upstream. A relayed
-    call is not relayed again. *exchange* is a :class:`RelayExchange`.
+    call is not relayed again. *exchange* is a :class:`RelayExchange`, *memory* the
+    :class:`MemoryBudget` for responses.
     """
 
-    def __init__(self, name, exchange, pool, metrics, read_clock):
+    def __init__(self, name, exchange, pool, metrics, memory, read_clock):
+        self._memory = memory
         self._name = name
         self._exchange = exchange
         self._pool = pool
@@ -131,10 +133,12 @@
             attempt = Attempt(peer, link, head, None, started_at, 0.0)
             self._make_stream_relay(call, connection, reader).run(attempt)
             return
-        body = reader.read_body(call, peer, link)
-        if connection.response_started:
-            raise ConnectionBroken(f"status {head.status} within a stream")
-        connection.send_response(head.status, _select_fields(head), body)
+        with self._memory.hold(link.make_room) as holding:
+            body = reader.read_body(call, peer, link, holding.resize)
+            holding.settle()
+            if connection.response_started:
+                raise ConnectionBroken(f"status {head.status} within a stream")
+            connection.send_response(head.status, _select_fields(head), body)
 
     def _make_stream_relay(self, call, connection, reader):
         return StreamRelay(
@@ -144,6 +148,7 @@
             self._read_clock,
             lambda call, attempt, gap_s: None,
             reader,
+            self._memory,
         )
 
     def _handle_refusal(self, call, peer, refusal, may_have_run_before):
@@ -216,10 +221,15 @@
                 if call.is_retryable and not self._exchange.is_alive(peer):
                     raise
 
-    def read_body(self, call, peer, link):
-        """Return the whole body; raises :class:`ConnectionBroken`."""
+    def read_body(self, call, peer, link, record_size=lambda size: None):
+        """Return the whole body; raises :class:`ConnectionBroken`.
+
+        *record_size* is called with the size of what has arrived.
+        """
         return join_parts(
-            lambda: self.read(call, peer, link.read_part), MAX_BUFFERED_BYTES
+            lambda: self.read(call, peer, link.read_part),
+            MAX_BUFFERED_BYTES,
+            record_size,
         )
 
 
--- a/src/merlinnotch/_gateway/stream.py
+++ b/src/merlinnotch/_gateway/stream.py
@@ -28,7 +28,8 @@
     written before the first event, so that the response can be replaced until then.
 
     *record_gap* is called with the call, the attempt and the seconds between events.
-    *reader* is a :class:`ResponseReader`.
+    *reader* is a :class:`ResponseReader`, *memory* the :class:`MemoryBudget` for
+    incomplete events.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         read_clock,
         record_gap,
         reader,
+        memory,
     ):
         self._call = call
         self._connection = connection
@@ -46,6 +48,7 @@
         self._read_clock = read_clock
         self._record_gap = record_gap
         self._reader = reader
+        self._memory = memory
         self._check_interval_s = compute_check_interval_s(call.route.pause_goal_s)
         self._last_write_at = None
         self._byte_count = 0
@@ -59,11 +62,16 @@
         :class:`CallerDisconnected` if the caller disconnects. The connection to the
         upstream is closed in all cases.
         """
-        splitter = EventSplitter()
         self._last_write_at = None
+        with self._memory.hold(attempt.connection.make_room) as holding:
+            self._relay(attempt, holding)
+
+    def _relay(self, attempt, holding):
+        splitter = EventSplitter()
         try:
             while part := self._read_part(attempt):
                 self._write_events(attempt, splitter.feed(part))
+                holding.resize(splitter.size)
             self._call.unfinished_bytes = len(splitter.remainder)
             self._check_begun(attempt)
             self._write_end(attempt, splitter.finish())
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -7,6 +7,7 @@
 import h11
 
 from .._errors import CallerDisconnected, ConnectionBroken, MalformedMessage
+from .._limits import MemoryBudget
 from .fields import Fields
 from .head import END_OF_HEAD, check_framing, check_raw_head
 from .sockets import Receiver, close_quietly, reset_on_close, send, shut_down
@@ -47,18 +48,25 @@
 
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
     *record_bytes* is called with the size of each block that is read or written.
+    *memory* is the :class:`MemoryBudget` for bodies of requests.
     *is_idle* is set while nothing of the next request has arrived, *is_kept* once a
     request has been answered and another one may follow.
     """
 
     def __init__(
-        self, sock, read_clock, write_timeout_s, record_bytes=lambda size: None
+        self,
+        sock,
+        read_clock,
+        write_timeout_s,
+        record_bytes=lambda size: None,
+        memory=None,
     ):
         self._sock = sock
         self._receiver = Receiver(sock)
         self._read_clock = read_clock
         self._write_timeout_s = write_timeout_s
         self._record_bytes = record_bytes
+        self._holding = (memory or MemoryBudget(0)).hold()
         self._buffer = b""
         self._protocol = None
         self._disconnect_watcher = None
@@ -85,7 +93,8 @@
         """Return the next request, or None at the end of the connection.
 
         Waits up to *idle_timeout_s* for its first byte. Raises
-        :class:`MalformedMessage` if the request must not be forwarded and
+        :class:`MalformedMessage` if the request must not be forwarded,
+        :class:`MemoryExhausted` if there is no memory for its body, and
         :class:`ConnectionBroken` if the connection fails or a wait times out.
         """
         if not self.wait_for_request(idle_timeout_s):
@@ -158,8 +167,9 @@
         self.write(head + data + self.encode_end())
 
     def finish(self):
-        """Stop watching for a disconnect; return whether another request may follow."""
+        """End the request; return whether another one may follow."""
         self._stop_watching()
+        self._holding.release()
         if self._is_broken or not self.keep_alive or self._protocol is None:
             return False
         if self._protocol.our_state is not h11.DONE:
@@ -170,9 +180,11 @@
         self.is_kept = True
         return True
 
-    def send_error(self, status):
-        """Send an error response to a malformed request, the last on the connection."""
+    def send_error(self, status, retry_after_s=None):
+        """Send an error response to a request that was not read, and no other one."""
         reason = b"HTTP/1.1 %d Refused\r\n" % status
+        if retry_after_s is not None:
+            reason += b"retry-after: %d\r\n" % retry_after_s
         with contextlib.suppress(CallerDisconnected):
             self.write(reason + b"content-length: 0\r\nconnection: close\r\n\r\n")
 
@@ -183,6 +195,7 @@
     def close(self):
         """Close the connection, marking a response in progress as incomplete."""
         self._stop_watching()
+        self._holding.release()
         if self._is_response_close_delimited():
             reset_on_close(self._sock)
         close_quietly(self._sock)
@@ -200,22 +213,22 @@
             self._buffer += self._receive_more(deadline - self._read_clock())
 
     def _read_body(self, limits):
-        parts = []
-        size = 0
+        # A list of small parts would take many times their size.
+        body = bytearray()
         while True:
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if event is h11.NEED_DATA:
                 data = self._receive_more(limits.idle_timeout_s)
                 self._protocol.receive_data(data)
                 continue
-            size += len(event.data)
-            if size > limits.max_body_bytes:
+            if len(body) + len(event.data) > limits.max_body_bytes:
                 raise MalformedMessage(
                     "request body exceeds the size limit", BODY_TOO_LARGE_STATUS
                 )
-            parts.append(bytes(event.data))
+            body += event.data
+            self._holding.resize(len(body))
 
     def _next_event(self):
         try:
--- a/src/merlinnotch/_http/server.py
+++ b/src/merlinnotch/_http/server.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 
-from .._errors import MalformedMessage, TransportError
+from .._errors import MalformedMessage, MemoryExhausted, TransportError
 from .caller import CallerConnection
 from .listener import Listener
 
 IDLE_TIMEOUT_S = 20.0
 WRITE_TIMEOUT_S = 2.0
+UNAVAILABLE = 503
 
 
 @dataclass(frozen=True)
@@ -24,7 +25,8 @@
     """Serves *respond*, which returns status, header pairs and body for a request.
 
     *limits* are the :class:`RequestLimits`. *record_bytes* is called with the size of
-    each block that is read or written.
+    each block that is read or written. *memory* is the :class:`MemoryBudget` for bodies
+    of requests.
     """
 
     def __init__(
@@ -34,7 +36,9 @@
         read_clock,
         limits=None,
         record_bytes=lambda size: None,
+        memory=None,
     ):
+        self._memory = memory
         self._record_bytes = record_bytes
         self._respond = respond
         self._read_clock = read_clock
@@ -48,7 +52,7 @@
 
     def _serve(self, sock):
         connection = CallerConnection(
-            sock, self._read_clock, WRITE_TIMEOUT_S, self._record_bytes
+            sock, self._read_clock, WRITE_TIMEOUT_S, self._record_bytes, self._memory
         )
         try:
             remote_host = sock.getpeername()[0]
@@ -56,6 +60,8 @@
                 pass
         except MalformedMessage as error:
             connection.send_error(error.status)
+        except MemoryExhausted:
+            connection.send_error(UNAVAILABLE)
         except TransportError:
             # The client disconnected or timed out, so that it expects no response.
             return
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -6,7 +6,12 @@
 import eventlet
 import h11
 
-from .._errors import ConnectionBroken, ConnectionTimedOut, MalformedMessage
+from .._errors import (
+    ConnectionBroken,
+    ConnectionTimedOut,
+    MalformedMessage,
+    MemoryExhausted,
+)
 from .fields import Fields
 from .sockets import (
     LATE_READ_S,
@@ -74,7 +79,7 @@
         )
         self._send_thread = None
         self._must_close = False
-        self._is_aborted = False
+        self._abort_error = None
         self.exchange_count = 0
         self.idle_since = 0.0
         self.keep_alive_timeout_s = None
@@ -123,12 +128,13 @@
             return bytes(event.data)
         raise ConnectionBroken("connection closed within the response body")
 
-    def read_body(self, deadline, max_bytes):
+    def read_body(self, deadline, max_bytes, record_size=lambda size: None):
         """Return the whole body.
 
         Raises :class:`ConnectionBroken` if it is longer than *max_bytes*.
+        *record_size* is called with the size of what has arrived.
         """
-        return join_parts(lambda: self.read_part(deadline), max_bytes)
+        return join_parts(lambda: self.read_part(deadline), max_bytes, record_size)
 
     def read_long_body(self, max_pause_s, max_bytes):
         """Return the whole body, however long it takes.
@@ -165,14 +171,19 @@
         """Return whether the idle connection is open and has no unread input."""
         return is_open_without_input(self._sock)
 
-    def abort(self):
-        """Abort the exchange in progress: its reads raise :class:`ConnectionBroken`.
+    def abort(self, error=None):
+        """Abort the exchange in progress: its reads raise *error*.
 
-        The end of the stream alone would make a response without length look complete.
+        This is :class:`ConnectionBroken` by default. The end of the stream alone would
+        make a response without length look complete.
         """
-        self._is_aborted = True
+        self._abort_error = error or ConnectionBroken("upstream restarted")
         shut_down(self._sock)
 
+    def make_room(self):
+        """Abort the exchange in progress, as others need the memory."""
+        self.abort(MemoryExhausted("ended, as others need the memory"))
+
     def close(self):
         """Close the connection; an upstream then cancels the request in progress."""
         if self._send_thread is not None:
@@ -197,8 +208,8 @@
                 return event
             data = self._receiver.receive(deadline - self._read_clock())
             self._turn_events = 0
-            if self._is_aborted:
-                raise ConnectionBroken("upstream restarted")
+            if self._abort_error is not None:
+                raise self._abort_error
             self._must_close = self._must_close or not data
             self._protocol.receive_data(data)
 
@@ -220,19 +231,20 @@
                 self.keep_alive_timeout_s = float(value)
 
 
-def join_parts(read_part, max_bytes):
+def join_parts(read_part, max_bytes, record_size=lambda size: None):
     """Return the body of which *read_part* returns the parts, b"" at its end.
 
-    Raises :class:`ConnectionBroken` if it is longer than *max_bytes*.
+    Raises :class:`ConnectionBroken` if it is longer than *max_bytes*. *record_size* is
+    called with the size of what has arrived.
     """
-    parts = []
-    size = 0
+    # A list of small parts would take many times their size.
+    body = bytearray()
     while part := read_part():
-        size += len(part)
-        if size > max_bytes:
+        if len(body) + len(part) > max_bytes:
             raise ConnectionBroken("response body exceeds the size limit")
-        parts.append(part)
-    return b"".join(parts)
+        body += part
+        record_size(len(body))
+    return bytes(body)
 
 
 def call(
--- a/src/merlinnotch/_limits/__init__.py
+++ b/src/merlinnotch/_limits/__init__.py
@@ -4,6 +4,7 @@
 from .budget import RetryBudget
 from .connection_gate import BEAT_INTERVAL_S, ConnectionGate
 from .link_budget import ConnectionTraffic, LinkBudget, measure_wire_bytes
+from .memory_budget import MemoryBudget
 from .queue import FairQueue, Waiter
 from .retry_after import jitter_retry_after, spread_retry_after
 from .sliding_window import SlidingWindowRetryBudget
@@ -15,6 +16,7 @@
     "ConnectionTraffic",
     "FairQueue",
     "LinkBudget",
+    "MemoryBudget",
     "RetryBudget",
     "SlidingWindowRetryBudget",
     "Waiter",
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -1,10 +1,7 @@
 """Upstreams that answer with the right seal and id and then never stop."""
 
-import sys
-
 import eventlet
 import pytest
-from eventlet.green import subprocess
 
 from merlinnotch._gateway.stream import EVENTS_PER_TOKEN, MIN_EVENTS_LIMIT
 from standins.platform_upstream import (
@@ -22,25 +19,6 @@
 DEADLINE_MS = "3000"
 
 
-@pytest.fixture
-def start_endless():
-    """Return a function that starts an endless upstream and returns its address."""
-    processes = []
-
-    def start_endless(kind):
-        process = subprocess.Popen(
-            [sys.executable, "-m", "tests.gateway.endless_upstream", kind],
-            stdout=subprocess.PIPE,
-        )
-        processes.append(process)
-        return process.stdout.readline().decode().strip()
-
-    yield start_endless
-    for process in processes:
-        process.kill()
-        process.wait()
-
-
 @pytest.fixture
 def add_endless(world, start_endless):
     """Return a function that lists an endless upstream for the requests of its kind."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -10,6 +10,7 @@
     InstanceSettings,
     LinkSettings,
     LoadSettings,
+    MemorySettings,
     RetrySettings,
     RolloutSettings,
     ShutdownSettings,
@@ -105,6 +106,7 @@
     grace_s=2.0,
     in_force_ms=2000,
     link_mbps=0.0,
+    memory_mb=0.0,
     load=None,
 ):
     """Return the settings of an instance on free ports of the loopback interface.
@@ -120,6 +122,7 @@
         rollouts=RolloutSettings(0.15),
         shutdown=ShutdownSettings(grace_s),
         link=LinkSettings(link_mbps),
+        memory=MemorySettings(memory_mb),
         load=load or LoadSettings(),
     )
 
