Datagrams: a sender that never pauses no longer holds up other tasks

What callors saw: not met; while messages of peers come faster than they are read, nothing else runs at an instance. Cause: the receiving task went on for as long as datagrams were there. The class: a bound on silence and none on noise. Fix: other tasks run after each 64 datagrams.

--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -4,6 +4,7 @@
 import logging
 
 import cbor2
+import eventlet
 from eventlet.green import socket
 
 logger = logging.getLogger("merlinnotch")
@@ -11,6 +12,8 @@
 MAX_DATAGRAM_BYTES = 1400
 """Fits the MTU of a usual link: a datagram is lost with any one of its fragments."""
 
+MAX_DATAGRAMS_PER_TURN = 64
+
 
 class MessageKind(enum.IntEnum):
     """Type of a message, its first element on the wire."""
@@ -82,14 +85,18 @@
     def run(self):
         """Receive and dispatch messages until the process ends."""
         while True:
-            data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-            try:
-                kind, body = cbor2.loads(data)
-                self._handlers[kind](body)
-            except (ValueError, TypeError, KeyError) as error:
-                logger.warning(
-                    "invalid datagram dropped", extra={"reason": repr(error)}
-                )
+            for _ in range(MAX_DATAGRAMS_PER_TURN):
+                self._dispatch_next()
+            # While messages are there, receiving them lets no other task run.
+            eventlet.sleep(0)
+
+    def _dispatch_next(self):
+        data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        try:
+            kind, body = cbor2.loads(data)
+            self._handlers[kind](body)
+        except (ValueError, TypeError, KeyError) as error:
+            logger.warning("invalid datagram dropped", extra={"reason": repr(error)})
 
     def close(self):
         """Close the socket."""
