CBOR: treat messages and entries that are cut off as malformed

A datagram that is cut off ended the task that receives messages for 1 s; an entry of an instance in the store that is cut off ended the synchronization with the store again and again, so that no later change came into force there. Cause: the library's errors are no subclasses of ValueError, which the callers expect. Fix: one function decodes and raises ValueError.

--- a/src/merlinnotch/_entry/datagrams.py
+++ b/src/merlinnotch/_entry/datagrams.py
@@ -7,6 +7,8 @@
 import eventlet
 from eventlet.green import socket
 
+from .._cbor import decode_cbor
+
 logger = logging.getLogger("merlinnotch")
 
 MAX_DATAGRAM_BYTES = 1400
@@ -93,7 +95,7 @@
     def _dispatch_next(self):
         data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         try:
-            kind, body = cbor2.loads(data)
+            kind, body = decode_cbor(data)
             self._handlers[kind](body)
         except (ValueError, TypeError, KeyError) as error:
             logger.warning("invalid datagram dropped", extra={"reason": repr(error)})
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -10,6 +10,7 @@
 import eventlet
 import eventlet.queue
 
+from .._cbor import decode_cbor
 from .._errors import ConnectFailed, ConnectionBroken, MalformedMessage
 from .._fleet.mirror import MirrorUpdate
 from .._http import UpstreamConnection
@@ -181,5 +182,5 @@
 
 def decode_mirror_update(data):
     """Return the decoded :class:`MirrorUpdate`; raises ValueError or TypeError."""
-    index, items, keys = cbor2.loads(data)
+    index, items, keys = decode_cbor(data)
     return MirrorUpdate(index, tuple(Item(*row) for row in items), tuple(keys))
--- a/src/merlinnotch/_fleet/records.py
+++ b/src/merlinnotch/_fleet/records.py
@@ -2,6 +2,7 @@
 
 import cbor2
 
+from .._cbor import decode_cbor
 from .._errors import ConfigurationInvalid
 from .._store.keys import ROOT
 from .rollout import Stage
@@ -48,11 +49,11 @@
     """
     try:
         if key.startswith(PEER_PREFIX):
-            zone, address = cbor2.loads(value)
+            zone, address = decode_cbor(value)
             return PeerAddress(key[len(PEER_PREFIX) :], zone, address)
         if key.startswith(STAGE_PREFIX):
             # Earlier releases write no canary count and no bad answers.
-            order_index, number, share, age_s, *rest = cbor2.loads(value)
+            order_index, number, share, age_s, *rest = decode_cbor(value)
             service = key[len(STAGE_PREFIX) :]
             return Stage(service, order_index, number, share, age_s, index, *rest)
         if key.startswith(BLOCKED_PREFIX):
--- a/src/merlinnotch/_peers/messages.py
+++ b/src/merlinnotch/_peers/messages.py
@@ -4,6 +4,7 @@
 
 import cbor2
 
+from .._cbor import decode_cbor
 from .._ledger import Bill, Claim, Query, RecordResult, Release
 from .._rate_limits import LimitReport, PermitAnswer, PermitQuestion, PermitReturn
 from .heartbeat import Heartbeat
@@ -201,9 +202,9 @@
     Raise ValueError if *data* is not an encoded message.
     """
     try:
-        correlation_id, packed = cbor2.loads(data)
+        correlation_id, packed = decode_cbor(data)
         message = _unpack(packed)
-    except (cbor2.CBORDecodeError, TypeError, KeyError, IndexError) as error:
+    except (ValueError, TypeError, KeyError, IndexError) as error:
         raise ValueError(str(error)) from error
     if not isinstance(message, MESSAGE_TYPES + LATER_MESSAGE_TYPES):
         raise ValueError(f"{type(message).__name__} is not a message type")
--- a/tests/entry/test_datagrams.py
+++ b/tests/entry/test_datagrams.py
@@ -52,3 +52,14 @@
         while len(scene.received) < COUNT:
             eventlet.sleep(0.01)
     task.kill()
+
+
+def test_invalid_datagram_is_dropped(scene):
+    task = eventlet.spawn(scene.transport.run)
+    for data in (b"", b"\xff\x00", cbor2.dumps([9999, None]), cbor2.dumps([1, 7])):
+        scene.send(data)
+    with eventlet.Timeout(5.0):
+        while not scene.received:
+            eventlet.sleep(0.01)
+    assert scene.received == [7]
+    task.kill()
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -235,3 +235,13 @@
         )
         is None
     )
+
+
+@pytest.mark.parametrize("size", [0, 1, len(STATE) // 2])
+def test_state_that_is_cut_off_is_not_applied(size):
+    server = HttpServer(
+        "127.0.0.1:0", lambda request: (200, [], STATE[:size]), read_clock
+    )
+    client = PeerClient("near", View(server.address), read_clock, EntryMetrics())
+    assert list(client.fetch_newer(0)) == []
+    server.close()
