Store: give up a reply that only trickles

A reply of which a byte arrives now and then held a watch, and with it all later changes, for as long as it had bytes to come. Cause: a long reply was bounded by its pauses and its size. The class: a bound on silence and none on noise. Fix: beyond 2 s a reply has to arrive at 16 KB/s on the whole, a fortieth of the narrowest link. Evidence: test_long_body_that_only_trickles_is_given_up (given up by the test's time limit of 30 s before).

--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -27,6 +27,10 @@
 """Up to this size, a request is written before its response is read. A larger one is
 written in the background, as an upstream may respond before it has read it."""
 MAX_HEAD_BYTES = 65536
+MIN_BODY_S = 2.0
+"""Time that a long body may take however few bytes arrive."""
+MIN_BYTES_PER_S = 16384
+"""Rate of a long body after that; a sender that is slower is as good as silent."""
 MAX_INTERIM_RESPONSES = 8
 """A server sends one or two before a response."""
 MAX_EVENTS_PER_TURN = 64
@@ -137,14 +141,23 @@
         return join_parts(lambda: self.read_part(deadline), max_bytes, record_size)
 
     def read_long_body(self, max_pause_s, max_bytes):
-        """Return the whole body, however long it takes.
+        """Return the whole body, which may take as long as its length needs.
 
-        Raises :class:`ConnectionBroken` if nothing arrives for *max_pause_s*, or if it
-        is longer than *max_bytes*.
+        Raises :class:`ConnectionBroken` if nothing arrives for *max_pause_s*, if the
+        body arrives too slowly on the whole, or if it is longer than *max_bytes*.
         """
-        return join_parts(
-            lambda: self.read_part(self._read_clock() + max_pause_s), max_bytes
-        )
+        started_at = self._read_clock()
+        size = 0
+
+        def read_next():
+            nonlocal size
+            now = self._read_clock()
+            slowest_end = started_at + MIN_BODY_S + size / MIN_BYTES_PER_S
+            part = self.read_part(min(now + max_pause_s, slowest_end))
+            size += len(part)
+            return part
+
+        return join_parts(read_next, max_bytes)
 
     def make_reusable(self, now):
         """Prepare for the next exchange; return whether there can be one."""
@@ -252,9 +265,9 @@
 ):
     """Send a request and return the head and the body of its response.
 
-    With *max_pause_s* only the head has to arrive until *deadline*, and the body may
-    take longer as long as no pause in it does. A deadline can't allow for the length of
-    a body on a slow link.
+    With *max_pause_s* only the head has to arrive until *deadline*, and the body is
+    read like a long one. A deadline can't allow for the length of a body on a slow
+    link.
 
     Raises :class:`ConnectionBroken`, :class:`MalformedMessage` for an encoded body.
     """
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -198,3 +198,41 @@
     connection = UpstreamConnection(upstream.address, read_clock, 1.0)
     with pytest.raises(ConnectionBroken, match="interim"):
         exchange(connection, timeout_s=30.0)
+
+
+def make_trickling_script(size, pause_s):
+    """Return a script that answers with *size* bytes, one after each pause."""
+
+    def script(request, write):
+        write(b"HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n" % size)
+        for _ in range(size):
+            eventlet.sleep(pause_s)
+            write(b"x")
+        return True
+
+    return script
+
+
+def read_long_body(upstream, max_pause_s):
+    connection = UpstreamConnection(upstream.address, read_clock, 1.0)
+    connection.send_request("GET", "/", [("host", "h")], b"", read_clock() + 30.0)
+    connection.read_head(read_clock() + 30.0)
+    return connection.read_long_body(max_pause_s, 1 << 20)
+
+
+def test_long_body_that_only_trickles_is_given_up(start_upstream):
+    upstream = start_upstream(make_trickling_script(10_000, 0.01))
+    # All of it would take 100 s.
+    with eventlet.Timeout(30.0), pytest.raises(ConnectionBroken, match="timed out"):
+        read_long_body(upstream, max_pause_s=0.5)
+
+
+def test_long_body_may_take_longer_than_a_pause(start_upstream):
+    def script(request, write):
+        write(b"HTTP/1.1 200 X\r\ncontent-length: 600000\r\n\r\n")
+        for _ in range(6):
+            write(bytes(100_000))
+            eventlet.sleep(0.1)
+        return True
+
+    assert len(read_long_body(start_upstream(script), max_pause_s=0.3)) == 600_000
