Upstream client: bound responses and events that have no end

What callers saw: not met; at the OpenAI-compatible front door a response without end fills the memory of the process, and a stream that never pauses holds up other tasks and goes on after its deadline. Cause: responses were read whole, an event had no limit, and the deadline was a limit on pauses. The class: a bound on silence and none on noise. The line of a chunk's length and trailers are read by the library, without a limit there.

--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -8,6 +8,7 @@
 
 from .connections import make_pool_manager, set_read_timeout
 from .failure import AttemptFailed, FailureReason
+from .parts import PART_BYTES, limit_parts, read_parts
 from .silence import MIN_LIMIT_S, SilenceLimiter
 
 CONNECT_TIMEOUT_S = 0.5
@@ -33,6 +34,8 @@
 DONE_EVENT = b"data: [DONE]"
 ERROR_EVENT = b'data: {"error"'
 EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1 << 20
+MAX_DETAIL_BYTES = 4096
 
 
 class UpstreamClient:
@@ -77,6 +80,7 @@
             headers["X-Resume-From"] = str(position)
         url = f"http://{upstream.listed.address}/v1/chat/completions"
         started = time.monotonic()
+        deadline = started + call.time_left_s
         limiter = SilenceLimiter(call, may_retry)
         wait_s = limiter.compute_limit(self._first_token_limit_s(), started)
         response = self._send("POST", url, json.dumps(body), headers, wait_s, call)
@@ -85,7 +89,8 @@
             rest_s = self._record_notice(upstream, response, call, started)
             _check_response(response, call.request_id, rest_s)
             _check_not_rejected(response)
-            yield from self._read_events(response, limiter, started)
+            chunks = self._read_chunks(response, limiter, started)
+            yield from _split_events(limit_parts(chunks, deadline))
 
     def call_service(self, upstream, call):
         """Return the response of a plain service, and its body.
@@ -113,7 +118,7 @@
         )
         with _translate_errors(), releasing_connection(response):
             rest_s = self._record_notice(upstream, response, call, started)
-            data = response.read()
+            data = b"".join(limit_parts(read_parts(response), started + wait_s))
             _check_response(response, call.request_id, rest_s)
             return response, data
 
@@ -156,26 +161,8 @@
         options = self._pool_manager.connection_pool_kw
         return make_pool_manager(num_pools=1, **{**options, "maxsize": 1})
 
-    def _read_events(self, response, limiter, started):
-        buffer = b""
-        done = False
-        for chunk in self._read_chunks(response, limiter, started):
-            buffer += chunk
-            events = buffer.split(EVENT_END)
-            buffer = events.pop()
-            for event in events:
-                if event == DONE_EVENT:
-                    # Only a response read to its end leaves the connection reusable.
-                    done = True
-                elif event.startswith(ERROR_EVENT):
-                    raise AttemptFailed(FailureReason.ERROR, event.decode()[:200])
-                elif not done:
-                    yield event
-        if not done:
-            raise AttemptFailed(FailureReason.BROKEN, "the stream ended before [DONE]")
-
     def _read_chunks(self, response, limiter, started):
-        chunks = response.read_chunked()
+        chunks = response.read_chunked(PART_BYTES)
         limit_s = self._first_token_limit_s()
         is_first = True
         while True:
@@ -200,6 +187,28 @@
         self._mean_first_token_s += SMOOTHING * (duration_s - self._mean_first_token_s)
 
 
+def _split_events(chunks):
+    """Yield the events of a stream up to [DONE]; raises :class:`AttemptFailed`."""
+    buffer = b""
+    done = False
+    for chunk in chunks:
+        buffer += chunk
+        events = buffer.split(EVENT_END)
+        buffer = events.pop()
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise AttemptFailed(FailureReason.BROKEN, "an event has no end")
+        for event in events:
+            if event == DONE_EVENT:
+                # Only a response read to its end leaves the connection reusable.
+                done = True
+            elif event.startswith(ERROR_EVENT):
+                raise AttemptFailed(FailureReason.ERROR, event.decode()[:200])
+            elif not done:
+                yield event
+    if not done:
+        raise AttemptFailed(FailureReason.BROKEN, "the stream ended before [DONE]")
+
+
 def _check_response(response, request_id, rest_s):
     if response.headers.get(REQUEST_ID_HEADER) != request_id:
         raise AttemptFailed(FailureReason.MISMATCHED)
@@ -214,7 +223,7 @@
 
 def _check_not_rejected(response):
     if response.status >= 400:
-        detail = response.read().decode(errors="replace")[:200]
+        detail = response.read(MAX_DETAIL_BYTES).decode(errors="replace")[:200]
         raise AttemptFailed(FailureReason.REJECTED, detail)
 
 
