Callers: read at most 64 KB ahead of a request

While a request is in progress, up to 1 MB of what its caller sends after it was kept, outside of the budget for requests, so that some tens of such callers fill an instance of 128 MB. Fix: 64 KB, which holds several heads; the rest waits in the kernel. Evidence: test_bytes_that_are_read_during_a_request_are_limited failed with the limit before.

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -14,7 +14,7 @@
 
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
-MAX_READ_AHEAD_BYTES = 1 << 20
+MAX_READ_AHEAD_BYTES = 64 << 10
 """Limit on pipelined bytes that are read during a request. Beyond it, a disconnect of
 the caller is only detected at the next write."""
 WATCH_TIMEOUT_S = 3600.0
--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -7,7 +7,9 @@
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._errors import ConnectionBroken, MalformedMessage
 from merlinnotch._http import CallerConnection
+from merlinnotch._http.caller import MAX_READ_AHEAD_BYTES
 from merlinnotch._http.server import RequestLimits
+from merlinnotch._http.sockets import RECEIVE_SIZE_BYTES
 
 
 @pytest.fixture
@@ -130,3 +132,16 @@
     connection.close()
     with eventlet.Timeout(2):
         reader.wait()
+
+
+def test_bytes_that_are_read_during_a_request_are_limited(connection_and_peer):
+    connection, peer = connection_and_peer
+    peer.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    read_next(connection)
+    connection.watch_disconnect(lambda: None)
+    sender = eventlet.spawn(peer.sendall, bytes(8 << 20))
+    while not connection._disconnect_watcher.dead:
+        eventlet.sleep(0.01)
+    assert len(connection._buffer) < MAX_READ_AHEAD_BYTES + RECEIVE_SIZE_BYTES
+    assert MAX_READ_AHEAD_BYTES <= 64 << 10
+    sender.kill()
