--- a/soak/instances.py
+++ b/soak/instances.py
@@ -33,6 +33,9 @@
 slack = 30
 [link]
 mbps = {link_mbps}
+
+[memory]
+mb = 64
 [load]
 contracts = {contracts}
 ramp_up = "{ramp_up}"
