--- a/tests/http/test_late_reads.py
+++ b/tests/http/test_late_reads.py
@@ -5,7 +5,12 @@
 from eventlet.green import socket
 
 from merlinnotch._errors import ConnectionTimedOut
-from merlinnotch._http.sockets import LATE_READ_S, receive
+from merlinnotch._http.sockets import (
+    LATE_READ_S,
+    RECEIVE_SIZE_BYTES,
+    Receiver,
+    receive,
+)
 
 
 @pytest.fixture
@@ -34,3 +39,25 @@
     writer.sendall(b"data")
     with pytest.raises(ConnectionTimedOut):
         receive(reader, -2 * LATE_READ_S)
+
+
+def test_other_tasks_run_between_reads_from_a_sender_that_never_pauses(pair):
+    reader, writer = pair
+    writer.sendall(bytes(2 * RECEIVE_SIZE_BYTES))
+    receiver = Receiver(reader)
+    receiver.receive(1.0)
+    other = eventlet.spawn(lambda: None)
+    receiver.receive(1.0)
+    assert other.dead
+
+
+def test_no_bytes_are_lost_if_the_reader_ends_between_two_reads(pair):
+    reader, writer = pair
+    writer.sendall(bytes(2 * RECEIVE_SIZE_BYTES))
+    receiver = Receiver(reader)
+    parts = [receiver.receive(1.0)]
+    task = eventlet.spawn(lambda: parts.append(receiver.receive(1.0)))
+    eventlet.sleep(0)
+    task.kill()
+    parts += [receive(reader, 1.0)] if len(parts) == 1 else []
+    assert sum(map(len, parts)) == 2 * RECEIVE_SIZE_BYTES
