--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -299,5 +299,5 @@
             for update in self._peers.fetch_newer(self._mirror.index):
                 self._apply(self._mirror.merge, update, UpdateSource.PEER)
         except Exception:
-            # It runs in a thread of its own, whose errors nobody else would see.
+            # Errors of a green thread are not logged otherwise.
             logger.exception("state of peers not applied")
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -1,5 +1,6 @@
 """Transfer of state between instances over slow links."""
 
+import abc
 import types
 import zlib
 
@@ -38,14 +39,10 @@
         self.peers = {"far": PeerAddress("far", "a", address)}
 
 
-class SilentPeer:
-    """Peer that accepts a connection and never responds, like a frozen one.
-
-    *was_left* is set once its client has closed the connection.
-    """
+class FakePeer(abc.ABC):
+    """Peer that accepts one connection."""
 
     def __init__(self):
-        self.was_left = False
         self._socket = socket.socket()
         self._socket.bind(("127.0.0.1", 0))
         self._socket.listen()
@@ -58,30 +55,37 @@
 
     def _serve(self):
         connection, _ = self._socket.accept()
+        self._respond(connection)
+
+    @abc.abstractmethod
+    def _respond(self, connection):
+        """Use the connection of the only client."""
+
+
+class SilentPeer(FakePeer):
+    """Peer that never responds, like a frozen one.
+
+    *was_left* is set once its client has closed the connection.
+    """
+
+    was_left = False
+
+    def _respond(self, connection):
         while connection.recv(4096):
             pass
         self.was_left = True
 
 
-class SlowPeer:
+class SlowPeer(FakePeer):
     """Peer that sends *sent* of the *pieces* of its state, *pause_s* apart."""
 
     def __init__(self, pieces, pause_s, sent):
         self._pieces = pieces
         self._pause_s = pause_s
         self._sent = sent
-        self._socket = socket.socket()
-        self._socket.bind(("127.0.0.1", 0))
-        self._socket.listen()
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
-        self._task = eventlet.spawn(self._serve)
+        super().__init__()
 
-    def close(self):
-        self._task.kill()
-        self._socket.close()
-
-    def _serve(self):
-        connection, _ = self._socket.accept()
+    def _respond(self, connection):
         connection.recv(4096)
         head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(STATE)}\r\n\r\n"
         connection.sendall(head.encode())
--- a/tests/limits/test_connection_gate.py
+++ b/tests/limits/test_connection_gate.py
@@ -78,6 +78,22 @@
         pass
 
 
+def take_turn(in_progress, now, cost_s):
+    """Work on each request for a turn, and remove those that are done.
+
+    Return the time after it, and how many requests sent after the first three seconds
+    were answered in time. A request is a list of when it was sent and its turns.
+    """
+    answered = 0
+    for request in in_progress:
+        now += cost_s / TURNS
+        request[1] += 1
+        is_in_time = now - request[0] <= PATIENCE_S
+        answered += request[1] == TURNS and is_in_time and request[0] > 3.0
+    in_progress[:] = [request for request in in_progress if request[1] < TURNS]
+    return now, answered
+
+
 def play(gate, rate, duration_s=10.0, cost_s=COST_S, reset_cost_s=RESET_COST_S):
     """Return how many requests were read and how many of them answered in time.
 
@@ -100,13 +116,8 @@
                 read += connected_at > 3.0
             else:
                 now += reset_cost_s
-        for request in in_progress:
-            now += cost_s / TURNS
-            request[1] += 1
-            is_over = request[1] == TURNS
-            is_in_time = now - request[0] <= PATIENCE_S
-            answered += is_over and is_in_time and request[0] > 3.0
-        in_progress = [request for request in in_progress if request[1] < TURNS]
+        now, answered_now = take_turn(in_progress, now, cost_s)
+        answered += answered_now
         now = max(now, turn_began_at + 0.001)
     return read, answered
 
@@ -190,12 +201,8 @@
                 continue
             in_progress.append([sent_at, 0])
             read += sent_at > 3.0
-        for request in in_progress:
-            now += COST_S / TURNS
-            request[1] += 1
-            is_in_time = now - request[0] <= PATIENCE_S
-            answered += request[1] == TURNS and is_in_time and request[0] > 3.0
-        in_progress = [request for request in in_progress if request[1] < TURNS]
+        now, answered_now = take_turn(in_progress, now, COST_S)
+        answered += answered_now
         now = max(now, turn_began_at + 0.001)
     return read, answered
 
