--- a/tests/gateway/test_prober.py
+++ b/tests/gateway/test_prober.py
@@ -10,10 +10,12 @@
 from merlinnotch._errors import ConnectFailed, ConnectRefused
 from merlinnotch._fleet import UpstreamStart
 from merlinnotch._gateway import Prober
+from merlinnotch._gateway.prober import CHECK_PAUSE_S, CONTACT_TTL_S
 from merlinnotch._placement import LoadTable
 from tests.platform_world import wait_until
 
 SERVICE = "app"
+MARKS = 10
 
 
 class FakePool:
@@ -103,12 +105,16 @@
 
 
 def test_few_upstreams_are_checked_while_one_fails(pool, make_prober):
-    # On a clock that stands still, as a busy machine would reach the next check.
-    prober, upstreams, loads = make_prober(62, lambda: 100.0)
+    # On a clock of its own, as a busy machine would reach the next check.
+    times_s = [100.0]
+    prober, upstreams, loads = make_prober(62, lambda: times_s[-1])
     pool.errors = {upstreams[0].address: ConnectFailed("silent")}
-    for _ in range(10):
+    for _ in range(MARKS):
         prober.mark_unreachable(upstreams[0])
         eventlet.sleep(0.01)
+        times_s.append(times_s[-1] + 0.9 * CHECK_PAUSE_S / MARKS)
+    # The contact that the check made has lapsed by then.
+    assert times_s[-2] - times_s[0] > CONTACT_TTL_S
     checked = [a for a in pool.connected if a != upstreams[0].address]
     assert 1 <= len(checked) <= 3
     assert list_unreachable(upstreams, loads) == upstreams[:1]
