Sockets: one implementation of a read, one recv for each try

A Receiver tried to read and then called receive(), which tried again: a second system call for each read that has to wait, on the path of every request. The function had no other caller left in the sources; its tests use the class, with the same assertions. No change of behaviour.

--- a/src/merlinnotch/_http/sockets.py
+++ b/src/merlinnotch/_http/sockets.py
@@ -84,37 +84,26 @@
         self._was_ready = False
 
     def receive(self, timeout_s):
-        """Return the next bytes like :func:`receive`."""
+        """Return the next bytes, or b"" at the end of the stream.
+
+        Raises :class:`ConnectionBroken`, in particular :class:`PathLost`, and
+        :class:`ConnectionTimedOut` after *timeout_s*.
+        Bytes that have arrived are also returned shortly after that time. The method of
+        the green socket also returns b"" for a reset connection, which would make a
+        truncated response without a length look complete.
+        """
         if self._was_ready:
             # Before the read, as bytes in hand would be lost if the task ended here.
             eventlet.sleep(0)
         self._was_ready = True
-        if timeout_s > -LATE_READ_S:
-            data = _receive_ready(self._sock)
-            if data is not None:
-                return data
-            self._was_ready = False
-        return receive(self._sock, timeout_s)
-
-
-def receive(sock, timeout_s):
-    """Return the next bytes, or b"" at the end of the stream.
-
-    Raises :class:`ConnectionBroken`, in particular :class:`PathLost`, and
-    :class:`ConnectionTimedOut` after *timeout_s*.
-    Bytes that have arrived are also returned shortly after that time. The method of
-    the green socket also returns b"" for a reset connection, which would make a
-    truncated response without a length look complete.
-    """
-    if timeout_s <= -LATE_READ_S:
-        raise ConnectionTimedOut("read timed out")
-    while True:
-        data = _receive_ready(sock)
-        if data is not None:
-            return data
-        if timeout_s <= 0:
+        if timeout_s <= -LATE_READ_S:
             raise ConnectionTimedOut("read timed out")
-        _wait_until_readable(sock, timeout_s)
+        while (data := _receive_ready(self._sock)) is None:
+            self._was_ready = False
+            if timeout_s <= 0:
+                raise ConnectionTimedOut("read timed out")
+            _wait_until_readable(self._sock, timeout_s)
+        return data
 
 
 def _receive_ready(sock):
--- a/tests/gateway/test_path_failures.py
+++ b/tests/gateway/test_path_failures.py
@@ -25,12 +25,12 @@
 
 def test_timeout_of_unacknowledged_bytes_is_a_lost_path():
     with pytest.raises(PathLost):
-        sockets.receive(FakeSocket(errno.ETIMEDOUT), 1.0)
+        sockets.Receiver(FakeSocket(errno.ETIMEDOUT)).receive(1.0)
 
 
 def test_reset_is_no_lost_path():
     with pytest.raises(ConnectionBroken) as caught:
-        sockets.receive(FakeSocket(errno.ECONNRESET), 1.0)
+        sockets.Receiver(FakeSocket(errno.ECONNRESET)).receive(1.0)
     assert not isinstance(caught.value, PathLost)
 
 
--- a/tests/http/test_late_reads.py
+++ b/tests/http/test_late_reads.py
@@ -9,7 +9,6 @@
     LATE_READ_S,
     RECEIVE_SIZE_BYTES,
     Receiver,
-    receive,
 )
 
 
@@ -26,19 +25,19 @@
 def test_bytes_that_have_arrived_are_not_lost_to_a_limit_just_passed(pair, timeout_s):
     reader, writer = pair
     writer.sendall(b"data")
-    assert receive(reader, timeout_s) == b"data"
+    assert Receiver(reader).receive(timeout_s) == b"data"
 
 
 def test_read_at_its_limit_does_not_wait(pair):
     with eventlet.Timeout(1.0), pytest.raises(ConnectionTimedOut):
-        receive(pair[0], 0.0)
+        Receiver(pair[0]).receive(0.0)
 
 
 def test_sender_that_never_pauses_does_not_prolong_the_limit(pair):
     reader, writer = pair
     writer.sendall(b"data")
     with pytest.raises(ConnectionTimedOut):
-        receive(reader, -2 * LATE_READ_S)
+        Receiver(reader).receive(-2 * LATE_READ_S)
 
 
 def test_other_tasks_run_between_reads_from_a_sender_that_never_pauses(pair):
@@ -59,5 +58,5 @@
     task = eventlet.spawn(lambda: parts.append(receiver.receive(1.0)))
     eventlet.sleep(0)
     task.kill()
-    parts += [receive(reader, 1.0)] if len(parts) == 1 else []
+    parts += [Receiver(reader).receive(1.0)] if len(parts) == 1 else []
     assert sum(map(len, parts)) == 2 * RECEIVE_SIZE_BYTES
