Store synchronization: decide once whether the state is in doubt

The same question was asked before a read and again within it, where the answer set how long the store may wait. The wait is an argument now. No change of behaviour.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -88,7 +88,8 @@
             if self._is_in_doubt():
                 self._read_store_and_ask_peers()
             else:
-                self._read_store()
+                forwarder = self._change_forwarder
+                self._read_store(forwarder.limit_watch_time(self._watch_s))
         except ChangesExpired:
             logger.info(
                 "store history not available; reading all entries",
@@ -142,7 +143,7 @@
         """Read the store, and ask peers for as long as it doesn't reply."""
         asking = eventlet.spawn(self._ask_peers_repeatedly)
         try:
-            self._read_store()
+            self._read_store(watch_s=0.0)
         finally:
             asking.kill()
 
@@ -152,13 +153,11 @@
             # A frozen peer would delay the next ones.
             eventlet.spawn_n(self._fetch_from_peers)
 
-    def _read_store(self):
+    def _read_store(self, watch_s):
         since = self._mirror.index
         self._change_forwarder.begin_read()
         if self._has_full_copy:
-            changes = self._store.read_changes(
-                ALL_KEYS_PREFIX, since, self._limit_watch_time()
-            )
+            changes = self._store.read_changes(ALL_KEYS_PREFIX, since, watch_s)
             self._record_reply()
             self._has_watched = True
             self._apply(self._mirror.apply, changes, UpdateSource.WATCH)
@@ -176,11 +175,6 @@
                 since, listing.index, None, self._measure_recovery_age()
             )
 
-    def _limit_watch_time(self):
-        if self._is_in_doubt():
-            return 0.0
-        return self._change_forwarder.limit_watch_time(self._watch_s)
-
     def _apply_forwarded(self, forwarded):
         """Apply forwarded changes; return False if some of them are missing."""
         if forwarded.index > self._mirror.index:
