--- a/tests/gateway/test_kept_connections.py
+++ b/tests/gateway/test_kept_connections.py
@@ -1,4 +1,4 @@
-"""Connections that callers keep while the configuration changes."""
+"""Connections that callers keep, while limits change and under overload."""
 
 import pytest
 
@@ -12,7 +12,6 @@
 )
 
 OLD_BODY_BYTES = 1000
-OLD_IDLE_MS = 300
 
 
 def make_limits(**changes):
