--- a/soak/instances.py
+++ b/soak/instances.py
@@ -33,7 +33,6 @@
 slack = 30
 [link]
 mbps = {link_mbps}
-
 [memory]
 mb = 64
 [load]
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from merlinnotch._entry.clock import read_clock
+from standins import endless
 from standins.platform_upstream import (
     StandInUpstream,
     make_answer,
@@ -28,7 +29,7 @@
 CREDENTIAL_FIELD = "x-credential"
 FAILURES = ("refused", "failed", "lost", "slow", "cut", "endless")
 FAILED_RUNS = ("failed", "lost", "cut", "endless")
-ENDLESS_BLOCK_BYTES = 65536
+ENDLESS_KINDS = ("header line", "interim responses", "chunked body")
 ENDLESS_PAUSE_S = 0.02
 """Pause between two blocks, as other upstreams run in the same process."""
 BASE_FAILURE_RATE = 0.06
@@ -110,7 +111,7 @@
         if failure == "lost":
             return False
         if failure == "endless":
-            return self._write_without_end(request, write)
+            return self._write_without_end(write, attempt_id)
         if failure == "failed":
             write(make_answer(request, b"failed", 500, self._list_notices()))
             return True
@@ -123,25 +124,10 @@
         write(make_answer(request, make_body(attempt_id), extra=extra))
         return True
 
-    def _write_without_end(self, request, write):
+    def _write_without_end(self, write, attempt_id):
         """Write a response that ends only when its reader closes the connection."""
-        lines = make_answer(request).partition(b"\r\n\r\n")[0].split(b"\r\n")
-        kept = [line for line in lines if not line.startswith(b"content-length")]
-        head = b"\r\n".join(kept) + b"\r\n"
-        parts = {
-            "head": head + b"x-padding: ",
-            "interim": b"",
-            "chunk": head + b"transfer-encoding: chunked\r\n\r\n",
-        }
-        kind = self._generator.choice(list(parts))
-        repeated = {
-            "head": b"x" * 1000,
-            "interim": b"HTTP/1.1 103 X\r\nlink: </a>\r\n\r\n",
-            "chunk": b"3e8\r\n%s\r\n" % (b"x" * 1000),
-        }[kind]
-        write(parts[kind])
-        block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated))
-        while True:
+        response = endless.KINDS[self._generator.choice(ENDLESS_KINDS)]
+        for block in response.generate(attempt_id.encode()):
             write(block)
             eventlet.sleep(ENDLESS_PAUSE_S)
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -4,12 +4,12 @@
 import pytest
 
 from merlinnotch._gateway.stream import EVENTS_PER_TOKEN, MIN_EVENTS_LIMIT
+from standins.endless import KINDS
 from standins.platform_upstream import (
     make_answer_script,
     make_stream_script,
     write_stream,
 )
-from tests.gateway.endless_upstream import KINDS
 from tests.platform_world import PLAIN_PATH, STREAM_PATH, make_routes
 
 STREAM_KINDS = ("event", "small events")
@@ -42,11 +42,7 @@
     return [eventlet.spawn(send, caller, kind, **fields) for _ in range(CALLERS)]
 
 
-def name_cases(kinds):
-    return [pytest.param(kind, id=kind) for kind in kinds]
-
-
-@pytest.mark.parametrize("kind", name_cases(KINDS))
+@pytest.mark.parametrize("kind", KINDS)
 def test_endless_response_does_not_look_complete(world, caller, add_endless, kind):
     add_endless(kind)
     for thread in send_at_once(caller, kind):
@@ -55,7 +51,7 @@
 
 
 @pytest.mark.parametrize("good_count", [1, 3])
-@pytest.mark.parametrize("kind", name_cases(k for k in KINDS if k not in LATE_KINDS))
+@pytest.mark.parametrize("kind", [kind for kind in KINDS if kind not in LATE_KINDS])
 def test_callers_of_an_endless_response_are_served_by_another_upstream(
     world, caller, add_endless, kind, good_count
 ):
@@ -99,19 +95,11 @@
 MAX_EVENTS = MIN_EVENTS_LIMIT + EVENTS_PER_TOKEN * 20
 
 
-def send_with_token_counts(caller):
-    """Return the threads of requests that expect few tokens."""
-    return [
-        eventlet.spawn(send, caller, "small events", x_token_counts=TOKEN_COUNTS)
-        for _ in range(CALLERS)
-    ]
-
-
 def test_endless_stream_is_cut_off_beyond_the_tokens_that_were_asked_for(
     world, caller, add_endless
 ):
     add_endless("small events")
-    for thread in send_with_token_counts(caller):
+    for thread in send_at_once(caller, "small events", x_token_counts=TOKEN_COUNTS):
         response = thread.wait()
         assert response.body.count(b"data:") <= MAX_EVENTS
         assert response.status != 200 or not response.is_complete
@@ -122,7 +110,7 @@
 ):
     add_endless("small events")
     world.add_upstream("i-good", make_stream_script(), "engines")
-    for thread in send_with_token_counts(caller):
+    for thread in send_at_once(caller, "small events", x_token_counts=TOKEN_COUNTS):
         response = thread.wait()
         assert response.status == 200
         assert response.is_complete
