--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,6 +18,7 @@
     CallerConnection,
     Deployment,
     Record,
+    Rotation,
     is_troubled,
     run_case,
 )
@@ -33,35 +34,9 @@
 PAUSE_S = 3.0
 MAX_IDLE_S = 12.0
 """Four fifths of the idle timeout of the configuration, 15 s."""
-POLL_S = 1.0
-MISSES = 2
 MIN_ANSWERED = 2000
 
 
-class Rotation:
-    """The instances that get new connections, by polls of their readiness."""
-
-    def __init__(self, instances, record):
-        self._instances = instances
-        self._record = record
-        self._misses = dict.fromkeys(instances, 0)
-        for instance in instances:
-            eventlet.spawn(self._poll, instance)
-
-    def list_in(self):
-        """Return the instances in rotation, all of them if there are none."""
-        found = [i for i in self._instances if self._misses[i] < MISSES]
-        return found or self._instances
-
-    def _poll(self, instance):
-        while True:
-            eventlet.sleep(POLL_S)
-            if instance.is_ready():
-                self._misses[instance] = 0
-            else:
-                self._misses[instance] += 1
-
-
 class Servers:
     """The servers, which run each request for WORK_S seconds."""
 
@@ -165,7 +140,7 @@
     with Deployment(INSTANCES) as deployment:
         servers = Servers(deployment, record)
         deployment.start()
-        rotation = Rotation(deployment.instances, record)
+        rotation = Rotation(deployment.instances)
         until = read_clock() + LENGTH_S
         stops = eventlet.spawn(stop_in_turn, deployment, record, until - 12.0)
         pool = eventlet.GreenPool(CALLERS)
--- a/review/harness.py
+++ b/review/harness.py
@@ -26,7 +26,10 @@
 HOST = "host.example"
 KEY = "key-of-team"
 ONCE_PATH = "/once/"
+STREAM_PATH = "/stream/"
 GRACE_S = 8.0
+READY_POLL_S = 1.0
+READY_MISSES = 2
 PORTS = PortPicker()
 
 SETTINGS = """\
@@ -73,12 +76,17 @@
 
 
 def make_configuration():
-    """Return the operator's configuration: one service and two routes to it."""
+    """Return the operator's configuration: one service, its routes and one team."""
     common = {"host": HOST, "service": "app", "goal-ms": 150, "priority": 2}
     once = {"name": "once", "path-prefix": ONCE_PATH, "kind": "non_idempotent"}
+    stream = {"name": "stream", "path-prefix": STREAM_PATH, "kind": "streaming"}
+    stream |= {"resumable": True, "gap-goal-ms": 1200, "goal-ms": 1500}
     return {
         "version": 1,
-        "routes": [common | once | {"attempts": 1, "timeout-ms": 800}],
+        "routes": [
+            common | once | {"attempts": 1, "timeout-ms": 800},
+            common | stream | {"attempts": 3, "timeout-ms": 20000},
+        ],
         "services": [{"name": "app", "health-path": "/health", "max-conns": 110}],
         "limits": {
             "max-header-bytes": 16384,
@@ -257,7 +265,7 @@
         """Return the :class:`Response`, incomplete if the connection ends early."""
         data = b""
         while b"\r\n\r\n" not in data:
-            part = self._receive_part()
+            part = self.receive_part()
             if not part:
                 return Response()
             data += part
@@ -266,7 +274,7 @@
         fields = dict(line.lower().split(": ", 1) for line in lines)
         length = int(fields.get("content-length", 0))
         while len(body) < length:
-            part = self._receive_part()
+            part = self.receive_part()
             if not part:
                 break
             body += part
@@ -286,7 +294,7 @@
         """Close the connection."""
         self._sock.close()
 
-    def _receive_part(self):
+    def receive_part(self):
         try:
             return self._sock.recv(65536)
         except OSError:
@@ -303,6 +311,29 @@
         connection.close()
 
 
+class Rotation:
+    """The instances that get new connections, by polls of their readiness."""
+
+    def __init__(self, instances):
+        self._instances = instances
+        self._misses = dict.fromkeys(instances, 0)
+        for instance in instances:
+            eventlet.spawn(self._poll, instance)
+
+    def list_in(self):
+        """Return the instances in rotation, all of them if there are none."""
+        found = [i for i in self._instances if self._misses[i] < READY_MISSES]
+        return found or self._instances
+
+    def _poll(self, instance):
+        while True:
+            eventlet.sleep(READY_POLL_S)
+            if instance.is_ready():
+                self._misses[instance] = 0
+            else:
+                self._misses[instance] += 1
+
+
 class Record:
     """The lines of ``record.txt``: what was sent, answered and run, with the time."""
 
