--- a/review/harness.py
+++ b/review/harness.py
@@ -99,7 +99,11 @@
 
 
 def run_case(main):
-    """End the process with the exit code of *main*, 2 if it fails itself."""
+    """End the process with the exit code of *main*, 2 if it fails itself.
+
+    SIGTERM ends it like SIGINT, so that the processes it started are ended as well.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = main()
     except BaseException:
