Log and count responses that don't carry the id of their request

Until now a line on a failed attempt said neither whose id came and whose was expected, nor how many requests the connection had carried, so that the four hypotheses of docs/incidents/refused-twice.md looked alike. Counter merlinnotch_mismatched_responses_total by reason. What becomes of the requests is unchanged.

--- a/src/merlinnotch/_entry/metrics.py
+++ b/src/merlinnotch/_entry/metrics.py
@@ -26,6 +26,11 @@
         self.retries = self._counter(
             "retries", "Sends that failed, by reason", "reason"
         )
+        self.mismatches = self._counter(
+            "mismatched_responses",
+            "Responses that are not known to answer the request, by reason",
+            "reason",
+        )
         self.permits = self._counter(
             "permits", "Permits asked for limited upstreams, by result", "result"
         )
--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -6,6 +6,7 @@
 from .admission_gate import AdmissionGate
 from .attempt import AttemptSender
 from .choice import UpstreamChooser
+from .correlation import MismatchRecorder
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
@@ -26,6 +27,7 @@
     "Forwarder",
     "Gateway",
     "GatewayParts",
+    "MismatchRecorder",
     "PermittedChooser",
     "Prober",
     "ReachabilityChecker",
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -12,6 +12,7 @@
     encode_request,
     was_not_executed,
 )
+from .correlation import find_mismatch
 from .reachability import compute_check_interval_s
 from .read_limits import LimitKind, ReadLimit
 
@@ -75,7 +76,8 @@
     instances. *reader* is a :class:`ResponseReader`, *notice_recorder* a
     :class:`NoticeRecorder`, *permits* a :class:`Permits`, *slots* a
     :class:`SlotExchange`, *work_times* a :class:`WorkTimes`, *load_policy* a
-    :class:`LoadPolicy`, *totals* a :class:`FleetTotals`.
+    :class:`LoadPolicy`, *totals* a :class:`FleetTotals`,
+    *mismatches* a :class:`MismatchRecorder`.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         work_times,
         load_policy,
         totals,
+        mismatches,
     ):
         self._pool = pool
         self._loads = loads
@@ -105,6 +108,7 @@
         self._work_times = work_times
         self._load_policy = load_policy
         self._totals = totals
+        self._mismatches = mismatches
 
     def send(self, call, choice, placement_request, estimate, until):
         """Return the :class:`Attempt` of sending *call* to the upstream of *choice*.
@@ -178,6 +182,9 @@
     def _process_head(self, call, choice, connection, head, started_at):
         now = self._read_clock()
         upstream = choice.upstream
+        mismatch = find_mismatch(head, call.headers.attempt_id)
+        if mismatch is not None:
+            self._mismatches.record(mismatch, call, upstream, connection, head)
         notice = self._record_notice(call, choice, head, started_at, now)
         load = self._loads.get(upstream)
         load.contacted_at = now
--- /dev/null
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -0,0 +1,52 @@
+"""Matching of responses to the requests that they answer.
+
+A faulty upstream may repeat a response, which then arrives where the response to the
+next request on the connection is expected.
+"""
+
+import enum
+import logging
+
+from ..platform import decode_response_id, was_not_executed
+
+logger = logging.getLogger("merlinnotch")
+
+
+class Mismatch(enum.StrEnum):
+    """Why a response may not be the call's own, as logged in ``reason``."""
+
+    FOREIGN_REFUSAL = "foreign refusal"
+    FOREIGN_RESPONSE = "foreign response"
+    UNNAMED_REFUSAL = "unnamed refusal"
+    UNNAMED_RESPONSE = "unnamed response"
+
+
+def find_mismatch(head, attempt_id):
+    """Return the :class:`Mismatch` of a response head, None if it has *attempt_id*."""
+    response_id = decode_response_id(head.fields)
+    if response_id == attempt_id:
+        return None
+    is_refusal = was_not_executed(head.status, head.fields)
+    if response_id is None:
+        return Mismatch.UNNAMED_REFUSAL if is_refusal else Mismatch.UNNAMED_RESPONSE
+    return Mismatch.FOREIGN_REFUSAL if is_refusal else Mismatch.FOREIGN_RESPONSE
+
+
+class MismatchRecorder:
+    """Counts mismatched responses in ``metrics.mismatches`` and logs them."""
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+
+    def record(self, mismatch, call, upstream, connection, head):
+        """Record the response *head*, read from *connection* while *call* waits."""
+        self._metrics.mismatches.labels(str(mismatch)).inc()
+        fields = {
+            "reason": str(mismatch),
+            "request": call.headers.attempt_id,
+            "response_id": decode_response_id(head.fields),
+            "status": head.status,
+            "upstream": upstream.id,
+            "exchanges": connection.exchange_count,
+        }
+        logger.info("response does not match the request", extra=fields)
--- a/src/merlinnotch/platform/__init__.py
+++ b/src/merlinnotch/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_notice,
     decode_request,
     decode_response,
+    decode_response_id,
     encode_request,
     was_not_executed,
 )
@@ -30,6 +31,7 @@
     "decode_notice",
     "decode_request",
     "decode_response",
+    "decode_response_id",
     "encode_request",
     "encode_status",
     "format_place",
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -234,6 +234,11 @@
     return status == MISDIRECTED_STATUS or fields.get(_NOT_RUN) is not None
 
 
+def decode_response_id(fields):
+    """Return the id of the request that a response answers, None if it has none."""
+    return fields.get(_ATTEMPT_ID)
+
+
 def decode_response(fields):
     """Return the :class:`ResponseHeaders` of a response's header fields.
 
