Refusals of other requests are no longer believed

Callers saw once-only requests answered 503, which promises "not run", though they had run (REFUSED), and others ran twice (TWICE).

Cause: AttemptSender looked whether a response says "not run" before it looked whose response it is. A faulty upstream repeats a response late, where the next one on the connection is expected; a repeated refusal was taken for the answer to the next request, which was sent to another upstream while the first ran it.

Change: the only way to a response head is ResponseMatcher, which returns it if it carries the call's own id, and raises ForeignResponse otherwise: the request may have run, and the connection is closed. Load, pace, notices, permits and contact are no longer read from such a response either.

--- a/src/merlinnotch/_gateway/__init__.py
+++ b/src/merlinnotch/_gateway/__init__.py
@@ -6,7 +6,7 @@
 from .admission_gate import AdmissionGate
 from .attempt import AttemptSender
 from .choice import UpstreamChooser
-from .correlation import MismatchRecorder
+from .correlation import ResponseMatcher
 from .forwarder import Forwarder
 from .gateway import Gateway
 from .parts import GatewayParts
@@ -27,7 +27,7 @@
     "Forwarder",
     "Gateway",
     "GatewayParts",
-    "MismatchRecorder",
+    "ResponseMatcher",
     "PermittedChooser",
     "Prober",
     "ReachabilityChecker",
--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -1,5 +1,6 @@
 """Sending a call to one upstream and reading the response head."""
 
+import functools
 from dataclasses import dataclass
 
 from .._errors import ConnectionBroken, TransportError
@@ -12,7 +13,6 @@
     encode_request,
     was_not_executed,
 )
-from .correlation import find_mismatch
 from .reachability import compute_check_interval_s
 from .read_limits import LimitKind, ReadLimit
 
@@ -77,7 +77,7 @@
     :class:`NoticeRecorder`, *permits* a :class:`Permits`, *slots* a
     :class:`SlotExchange`, *work_times* a :class:`WorkTimes`, *load_policy* a
     :class:`LoadPolicy`, *totals* a :class:`FleetTotals`,
-    *mismatches* a :class:`MismatchRecorder`.
+    *matcher* a :class:`ResponseMatcher`.
     """
 
     def __init__(
@@ -94,7 +94,7 @@
         work_times,
         load_policy,
         totals,
-        mismatches,
+        matcher,
     ):
         self._pool = pool
         self._loads = loads
@@ -108,7 +108,7 @@
         self._work_times = work_times
         self._load_policy = load_policy
         self._totals = totals
-        self._mismatches = mismatches
+        self._matcher = matcher
 
     def send(self, call, choice, placement_request, estimate, until):
         """Return the :class:`Attempt` of sending *call* to the upstream of *choice*.
@@ -174,7 +174,7 @@
         return self._reader.read(
             call,
             upstream,
-            connection.read_head,
+            functools.partial(self._matcher.read_head, call, upstream, connection),
             compute_check_interval_s(call.route.goal_s),
             ReadLimit(until, LimitKind.RESPONSE_HEAD),
         )
@@ -182,9 +182,6 @@
     def _process_head(self, call, choice, connection, head, started_at):
         now = self._read_clock()
         upstream = choice.upstream
-        mismatch = find_mismatch(head, call.headers.attempt_id)
-        if mismatch is not None:
-            self._mismatches.record(mismatch, call, upstream, connection, head)
         notice = self._record_notice(call, choice, head, started_at, now)
         load = self._loads.get(upstream)
         load.contacted_at = now
@@ -203,9 +200,6 @@
                     f"status {head.status}, {notice.rest_s:g} s of rest", head.status
                 )
             raise NotRun(f"status {head.status}", head.status)
-        if response_info.attempt_id != call.headers.attempt_id:
-            connection.close()
-            raise ConnectionBroken("response belongs to another request")
         if head.status in SUCCESS_STATUSES and not response_info.sealed:
             connection.close()
             raise ConnectionBroken("successful response lacks the upstream's seal")
@@ -221,12 +215,9 @@
     def _record_notice(self, call, choice, head, started_at, now):
         """Record and return the notice of a response, before others may raise.
 
-        A refusal may lack the attempt's id. The notice of a response to another
-        request is not recorded, as the connection is out of step.
+        A refusal may lack the attempt's id.
         """
         notice = decode_notice(head.status, head.fields)
-        if notice.attempt_id not in (None, call.headers.attempt_id):
-            return notice
         upstream = choice.upstream
         self._notice_recorder.record(upstream.start, upstream.id, notice, now)
         # Another upstream at the same address answers so.
--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -7,6 +7,7 @@
 import enum
 import logging
 
+from .._errors import ConnectionBroken
 from ..platform import decode_response_id, was_not_executed
 
 logger = logging.getLogger("merlinnotch")
@@ -32,14 +33,34 @@
     return Mismatch.FOREIGN_REFUSAL if is_refusal else Mismatch.FOREIGN_RESPONSE
 
 
-class MismatchRecorder:
-    """Counts mismatched responses in ``metrics.mismatches`` and logs them."""
+class ForeignResponse(ConnectionBroken):
+    """A response to another request arrived on the connection."""
+
+
+class ResponseMatcher:
+    """Reads the response heads of calls, and none of other requests.
+
+    Mismatches are counted in ``metrics.mismatches`` and logged.
+    """
 
     def __init__(self, metrics):
         self._metrics = metrics
 
-    def record(self, mismatch, call, upstream, connection, head):
-        """Record the response *head*, read from *connection* while *call* waits."""
+    def read_head(self, call, upstream, connection, deadline):
+        """Return the head of the response to *call*, which was sent to *upstream*.
+
+        Raises :class:`ConnectionBroken`, in particular :class:`ForeignResponse`.
+        """
+        head = connection.read_head(deadline)
+        mismatch = find_mismatch(head, call.headers.attempt_id)
+        if mismatch is None:
+            return head
+        self._record(mismatch, call, upstream, connection, head)
+        if mismatch is Mismatch.UNNAMED_REFUSAL:
+            return head
+        raise ForeignResponse(str(mismatch))
+
+    def _record(self, mismatch, call, upstream, connection, head):
         self._metrics.mismatches.labels(str(mismatch)).inc()
         fields = {
             "reason": str(mismatch),
--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -1,57 +1,114 @@
 """Responses that arrive where the response to another request is expected."""
 
+import collections
 import logging
+import weakref
 
 import pytest
 
 from standins.platform_upstream import make_answer
-from tests.platform_world import ONCE_PATH
+from tests.platform_world import ONCE_PATH, wait_until
 
-REFUSED = ("x-not-executed", "1")
+NOT_RUN = ("x-not-executed", "1")
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-def make_late_script(response):
-    """Return a script that sends *response* before its second answer."""
-    numbers = iter(range(1, 1000))
+class RepeatingScript:
+    """Script that runs each request and sends *response* before its answer.
 
-    def script(request, write):
-        if next(numbers) == 2:
-            write(response)
+    It does so on connections that have had an answer. *runs* counts the runs by
+    attempt id.
+    """
+
+    def __init__(self, response):
+        self.runs = collections.Counter()
+        self._response = response
+        self._used_connections = weakref.WeakSet()
+
+    def __call__(self, request, write):
+        self.runs[request.fields.get("x-attempt-id")] += 1
+        connection = write.__self__
+        if connection in self._used_connections:
+            write(self._response)
+        self._used_connections.add(connection)
         write(make_answer(request))
         return True
 
-    return script
 
-
-def make_response(attempt_id, is_refusal):
+def make_response(attempt_id, status=200, extra=()):
     """Return the bytes of a response, without an id if *attempt_id* is None."""
-    lines = ["HTTP/1.1 503 X" if is_refusal else "HTTP/1.1 200 X"]
-    lines.append("x-not-executed: 1" if is_refusal else "x-server-seal: s")
+    pairs = [("content-length", "0"), ("x-server-seal", "s"), *extra]
     if attempt_id is not None:
-        lines.append(f"x-attempt-id: {attempt_id}")
-    lines.append("content-length: 0")
+        pairs.append(("x-attempt-id", attempt_id))
+    lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in pairs]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def send_each(caller, count):
+    """Send *count* requests with ids of their own; return the responses by id."""
+    return {
+        f"id-{n}": caller.send(ONCE_PATH, "POST", b"x", x_attempt_id=f"id-{n}")
+        for n in range(count)
+    }
+
+
+def add_pair(world, response):
+    """Add two upstreams that repeat *response*; return their runs, summed later."""
+    scripts = [RepeatingScript(response) for _ in range(2)]
+    for number, script in enumerate(scripts):
+        world.add_upstream(f"i-{number}", script)
+    view = world.add_instance().view
+    wait_until(lambda: len(view.list_upstreams("app")) == len(scripts))
+    return scripts
+
+
+def check_promises(scripts, responses):
+    """Check that no request ran twice, and that none ran that was refused."""
+    runs = sum((script.runs for script in scripts), collections.Counter())
+    assert [i for i, count in runs.items() if count > 1] == []
+    refused = [i for i, r in responses.items() if r.status in NOT_RUN_STATUSES]
+    assert [i for i in refused if runs[i]] == []
+
+
 @pytest.mark.parametrize(
     ("response", "reason"),
     [
-        (make_response("another", True), "foreign refusal"),
-        (make_response("another", False), "foreign response"),
-        (make_response(None, True), "unnamed refusal"),
-        (make_response(None, False), "unnamed response"),
+        (make_response("another", 503, [NOT_RUN]), "foreign refusal"),
+        (make_response("another"), "foreign response"),
+        (make_response(None, 503, [NOT_RUN]), "unnamed refusal"),
+        (make_response(None), "unnamed response"),
     ],
 )
 def test_response_to_another_request_is_logged_and_counted(
     world, caller, caplog, response, reason
 ):
     caplog.set_level(logging.INFO, "merlinnotch")
-    world.add_upstream("i-1", make_late_script(response))
-    for _ in range(2):
-        caller.send(ONCE_PATH, "POST", b"x")
+    world.add_upstream("i-1", RepeatingScript(response))
+    send_each(caller, 2)
     message = "response does not match the request"
     record = next(r for r in caplog.records if r.message == message)
     assert (record.reason, record.upstream, record.exchanges) == (reason, "i-1", 2)
     metrics = world.instances[0].metrics
     name = "merlinnotch_mismatched_responses_total"
     assert metrics.registry.get_sample_value(name, {"reason": reason}) == 1.0
+
+
+@pytest.mark.parametrize(
+    "response",
+    [make_response("another", 503, [NOT_RUN]), make_response("another", 421)],
+    ids=["shed", "misdirected"],
+)
+def test_refusal_of_another_request_does_not_make_a_request_run_twice(
+    world, caller, response
+):
+    scripts = add_pair(world, response)
+    check_promises(scripts, send_each(caller, 8))
+
+
+def test_load_in_a_response_to_another_request_is_not_believed(world, caller):
+    load = ("x-server-load", "7,9,8")
+    world.add_upstream("i-1", RepeatingScript(make_response("another", extra=[load])))
+    send_each(caller, 2)
+    instance = world.instances[0]
+    upstream = instance.view.find_upstream("i-1")
+    assert instance._loads.get(upstream).waiting != 9
