--- a/benchmarks/repeated_responses.py
+++ b/benchmarks/repeated_responses.py
@@ -9,7 +9,9 @@
 send each request once, on a connection of its own.
 
 Prints a table and the history of requests that went wrong. The victim of a repeated
-response is the next request on its connection. Exits with 1 if a request ran twice, was
+response is the next request on its connection. An answer counts as none if the
+connection ended without one, as it does before a request is read while an instance
+falls behind. Exits with 1 if a request ran twice, was
 answered 408, 421, 429 or 503 though it ran, arrived with another body or got another
 request's response; with 2 if the run was not possible.
 """
@@ -136,6 +138,7 @@
             "run": title,
             "sent": len(self._answers),
             "answered": format_counts(self.statuses),
+            "none, but ran": self._count_unanswered_runs(),
             "repeated": len(journal.repeats),
             "victims got": format_counts(self._count_victims()),
             "ran twice": len(self.ran_twice),
@@ -158,6 +161,10 @@
             for line in self._journal.list_events(attempt_id):
                 print(f"  {line}")
 
+    def _count_unanswered_runs(self):
+        unanswered = (i for i, a in self._answers.items() if a.status == NO_ANSWER)
+        return sum(1 for attempt_id in unanswered if self._journal.runs[attempt_id])
+
     def _count_victims(self):
         victim_ids = [repeat.victim_id for repeat in self._journal.repeats]
         return collections.Counter(
