Refusals without an id are believed on a new connection only

Callers saw the same as with refusals of other requests: once-only requests answered 503 though they had run, and others that ran twice.

Cause: a refusal that carries no id was believed wherever it came. On a connection that has served other requests it may be a late one of any of them.

Change: it counts as the call's own only if the call is the first one on its connection; elsewhere the request may have run, and the connection is closed. After such a refusal the connection isn't kept either, as the next one could not be told from a late one. The guard on permits is gone: what the matcher returns is the call's own, or a refusal.

--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -194,7 +194,11 @@
                     upstream, response_info.running, response_info.waiting
                 )
         if was_not_executed(head.status, head.fields):
-            self._drain_and_release(upstream, connection, now)
+            if response_info.attempt_id is None:
+                # On a kept connection, the next one could not be told from a late one.
+                connection.close()
+            else:
+                self._drain_and_release(upstream, connection, now)
             if notice.rest_s > 0.0:
                 raise UpstreamResting(
                     f"status {head.status}, {notice.rest_s:g} s of rest", head.status
@@ -231,7 +235,7 @@
         self._permits.record_response(
             upstream,
             notice.limit_per_s,
-            was_run and notice.attempt_id is not None,
+            was_run,
             started_at,
             now,
             choice.permit,
--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -34,12 +34,15 @@
 
 
 class ForeignResponse(ConnectionBroken):
-    """A response to another request arrived on the connection."""
+    """A response that may belong to another request arrived on the connection."""
 
 
 class ResponseMatcher:
     """Reads the response heads of calls, and none of other requests.
 
+    A response is known to be the call's by the id that it carries. A refusal may lack
+    it; it is the call's if the call is the first on its connection.
+
     Mismatches are counted in ``metrics.mismatches`` and logged.
     """
 
@@ -56,7 +59,9 @@
         if mismatch is None:
             return head
         self._record(mismatch, call, upstream, connection, head)
-        if mismatch is Mismatch.UNNAMED_REFUSAL:
+        is_first = connection.exchange_count == 1
+        if mismatch is Mismatch.UNNAMED_REFUSAL and is_first:
+            # No other request was sent on this connection.
             return head
         raise ForeignResponse(str(mismatch))
 
--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from merlinnotch._entry.clock import read_clock
 from standins.platform_upstream import make_answer
 from tests.platform_world import ONCE_PATH, wait_until
 
@@ -112,3 +113,43 @@
     instance = world.instances[0]
     upstream = instance.view.find_upstream("i-1")
     assert instance._loads.get(upstream).waiting != 9
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        make_response(None, 503, [NOT_RUN]),
+        make_response(None, 421),
+        make_response(None, 400, [NOT_RUN]),
+    ],
+    ids=["shed", "misdirected", "rejected"],
+)
+def test_refusal_without_an_id_does_not_make_a_request_run_twice(
+    world, caller, response
+):
+    scripts = add_pair(world, response)
+    check_promises(scripts, send_each(caller, 8))
+
+
+def test_refusal_without_an_id_on_a_new_connection_is_retried(world, caller):
+    def refuse(request, write):
+        write(make_response(None, 503, [NOT_RUN]))
+        return True
+
+    refusing = world.add_upstream("i-1", refuse)
+    script = RepeatingScript(b"")
+    world.add_upstream("i-2", script)
+    responses = send_each(caller, 12)
+    assert refusing.requests
+    assert {response.status for response in responses.values()} == {200}
+    check_promises([script], responses)
+
+
+@pytest.mark.parametrize("attempt_id", ["another", None])
+def test_notice_in_a_mismatched_response_is_not_believed(world, caller, attempt_id):
+    leaving = ("server-leaving", "1")
+    response = make_response(attempt_id, extra=[leaving])
+    world.add_upstream("i-1", RepeatingScript(response))
+    send_each(caller, 2)
+    view = world.instances[0].view
+    assert view.accepts_work(view.find_upstream("i-1"), read_clock())
