Late responses to other requests are skipped, and callers get their own

Callers got 502 for each response that an upstream repeated late, though their own response followed on the same connection, within their deadline.

Cause: the first foreign response ended the exchange.

Change: on a connection that has served others, whole responses with another id or none are read and dropped, three and 1 MB at most, within the limits of the exchange, until the one with the request's own id comes. The connection is not kept. On a new connection a mismatch still ends the exchange at once: no late response can be due there. Not taken: closing the other idle connections of the upstream. Each response on them is matched by its id, and new connections cost a round trip and a slot.

--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -1,6 +1,5 @@
 """Sending a call to one upstream and reading the response head."""
 
-import functools
 from dataclasses import dataclass
 
 from .._errors import ConnectionBroken, TransportError
@@ -174,7 +173,7 @@
         return self._reader.read(
             call,
             upstream,
-            functools.partial(self._matcher.read_head, call, upstream, connection),
+            self._matcher.make_reader(call, upstream, connection).read,
             compute_check_interval_s(call.route.goal_s),
             ReadLimit(until, LimitKind.RESPONSE_HEAD),
         )
--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -12,6 +12,9 @@
 
 logger = logging.getLogger("merlinnotch")
 
+MAX_SKIPPED_RESPONSES = 3
+"""Responses to other requests that may precede the awaited one."""
+
 
 class Mismatch(enum.StrEnum):
     """Why a response may not be the call's own, as logged in ``reason``."""
@@ -38,10 +41,7 @@
 
 
 class ResponseMatcher:
-    """Reads the response heads of calls, and none of other requests.
-
-    A response is known to be the call's by the id that it carries. A refusal may lack
-    it; it is the call's if the call is the first on its connection.
+    """Makes readers that return the response heads of calls, and none of others.
 
     Mismatches are counted in ``metrics.mismatches`` and logged.
     """
@@ -49,30 +49,59 @@
     def __init__(self, metrics):
         self._metrics = metrics
 
-    def read_head(self, call, upstream, connection, deadline):
-        """Return the head of the response to *call*, which was sent to *upstream*.
+    def make_reader(self, call, upstream, connection):
+        """Return the :class:`OwnHeadReader` for *call*, sent over *connection*."""
+
+        def record(mismatch, head):
+            self._metrics.mismatches.labels(str(mismatch)).inc()
+            fields = {
+                "reason": str(mismatch),
+                "request": call.headers.attempt_id,
+                "response_id": decode_response_id(head.fields),
+                "status": head.status,
+                "upstream": upstream.id,
+                "exchanges": connection.exchange_count,
+            }
+            logger.info("response does not match the request", extra=fields)
+
+        return OwnHeadReader(connection, call.headers.attempt_id, record)
+
+
+class OwnHeadReader:
+    """Reads the head of the response to one request.
+
+    A response is known to be the request's by the id that it carries. On a new
+    connection a refusal may lack it, as no other request was sent there. On one that
+    has served others, responses of theirs may come first and are skipped.
+
+    *record* is called with the :class:`Mismatch` and the head of each other response.
+    """
+
+    def __init__(self, connection, attempt_id, record):
+        self._connection = connection
+        self._attempt_id = attempt_id
+        self._record = record
+        self._skipped_count = 0
+        self._is_skipping = False
+
+    def read(self, deadline):
+        """Return the :class:`ResponseHead`; may be called again after a time-out.
 
         Raises :class:`ConnectionBroken`, in particular :class:`ForeignResponse`.
         """
-        head = connection.read_head(deadline)
-        mismatch = find_mismatch(head, call.headers.attempt_id)
-        if mismatch is None:
-            return head
-        self._record(mismatch, call, upstream, connection, head)
-        is_first = connection.exchange_count == 1
-        if mismatch is Mismatch.UNNAMED_REFUSAL and is_first:
-            # No other request was sent on this connection.
-            return head
-        raise ForeignResponse(str(mismatch))
-
-    def _record(self, mismatch, call, upstream, connection, head):
-        self._metrics.mismatches.labels(str(mismatch)).inc()
-        fields = {
-            "reason": str(mismatch),
-            "request": call.headers.attempt_id,
-            "response_id": decode_response_id(head.fields),
-            "status": head.status,
-            "upstream": upstream.id,
-            "exchanges": connection.exchange_count,
-        }
-        logger.info("response does not match the request", extra=fields)
+        while True:
+            if self._is_skipping:
+                self._connection.skip_response(deadline)
+                self._is_skipping = False
+            head = self._connection.read_head(deadline)
+            mismatch = find_mismatch(head, self._attempt_id)
+            if mismatch is None:
+                return head
+            self._record(mismatch, head)
+            is_first = self._connection.exchange_count == 1
+            if is_first and mismatch is Mismatch.UNNAMED_REFUSAL:
+                return head
+            if is_first or self._skipped_count == MAX_SKIPPED_RESPONSES:
+                raise ForeignResponse(str(mismatch))
+            self._skipped_count += 1
+            self._is_skipping = True
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -33,6 +33,8 @@
 """Rate of a long body after that; a sender that is slower is as good as silent."""
 MAX_INTERIM_RESPONSES = 8
 """A server sends one or two before a response."""
+MAX_SKIPPED_BYTES = 1 << 20
+"""Bytes of responses to other requests that are read before the awaited one."""
 MAX_EVENTS_PER_TURN = 64
 """Parts of a response after which other tasks run and the deadline is checked. A block
 of bytes may hold thousands."""
@@ -78,9 +80,9 @@
         self._receiver = Receiver(self._sock)
         self._turn_events = 0
         self._interim_count = 0
-        self._protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._skipped_bytes = 0
+        self._protocol = make_protocol()
+        self._request = None
         self._send_thread = None
         self._must_close = False
         self._abort_error = None
@@ -92,11 +94,12 @@
         """Send a request, with a Content-Length field if it may have a body."""
         self.exchange_count += 1
         self._interim_count = 0
+        self._skipped_bytes = 0
         headers = list(pairs)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(body))))
-        request = h11.Request(method=method, target=target, headers=headers)
-        data = self._protocol.send(request)
+        self._request = h11.Request(method=method, target=target, headers=headers)
+        data = self._protocol.send(self._request)
         if body:
             data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
@@ -132,6 +135,25 @@
             return bytes(event.data)
         raise ConnectionBroken("connection closed within the response body")
 
+    def skip_response(self, deadline):
+        """Read the rest of a response to another request, and drop it.
+
+        The head of the next response can be read then; the connection is not reusable
+        any more. May be called again after :class:`ConnectionTimedOut`.
+        """
+        while part := self.read_part(deadline):
+            self._skipped_bytes += len(part)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ConnectionBroken("response to another request is too long")
+        if self._must_close or self._protocol.their_state is not h11.DONE:
+            raise ConnectionBroken("connection closed after another response")
+        data, _ = self._protocol.trailing_data
+        self._protocol = make_protocol()
+        # The method of the request tells whether a response has a body.
+        self._protocol.send(self._request)
+        if data:
+            self._protocol.receive_data(data)
+
     def read_body(self, deadline, max_bytes, record_size=lambda size: None):
         """Return the whole body.
 
@@ -244,6 +266,11 @@
                 self.keep_alive_timeout_s = float(value)
 
 
+def make_protocol():
+    """Return the protocol state of a client."""
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def join_parts(read_part, max_bytes, record_size=lambda size: None):
     """Return the body of which *read_part* returns the parts, b"" at its end.
 
--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -4,11 +4,13 @@
 import logging
 import weakref
 
+import eventlet
 import pytest
 
 from merlinnotch._entry.clock import read_clock
+from merlinnotch._gateway.correlation import MAX_SKIPPED_RESPONSES
 from standins.platform_upstream import make_answer
-from tests.platform_world import ONCE_PATH, wait_until
+from tests.platform_world import ONCE_PATH, PLAIN_PATH, wait_until
 
 NOT_RUN = ("x-not-executed", "1")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -17,12 +19,13 @@
 class RepeatingScript:
     """Script that runs each request and sends *response* before its answer.
 
-    It does so on connections that have had an answer. *runs* counts the runs by
-    attempt id.
+    It does so on connections that have had an answer, *count* times. *runs* counts the
+    runs by attempt id.
     """
 
-    def __init__(self, response):
+    def __init__(self, response, count=1):
         self.runs = collections.Counter()
+        self._count = count
         self._response = response
         self._used_connections = weakref.WeakSet()
 
@@ -30,7 +33,7 @@
         self.runs[request.fields.get("x-attempt-id")] += 1
         connection = write.__self__
         if connection in self._used_connections:
-            write(self._response)
+            write(self._response * self._count)
         self._used_connections.add(connection)
         write(make_answer(request))
         return True
@@ -45,6 +48,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def make_answer_with_id(attempt_id, body):
+    """Return the bytes of a successful response with a body."""
+    head, _, _ = make_response(attempt_id).partition(b"\r\n\r\n")
+    head = head.replace(b"content-length: 0", b"content-length: %d" % len(body))
+    return head + b"\r\n\r\n" + body
+
+
 def send_each(caller, count):
     """Send *count* requests with ids of their own; return the responses by id."""
     return {
@@ -153,3 +163,64 @@
     send_each(caller, 2)
     view = world.instances[0].view
     assert view.accepts_work(view.find_upstream("i-1"), read_clock())
+
+
+REPEATED = {
+    "refusal": make_response("another", 503, [NOT_RUN]),
+    "response": make_response("another"),
+    "refusal-without-id": make_response(None, 503, [NOT_RUN]),
+    "response-without-id": make_response(None),
+    "body": make_answer_with_id("another", b"x" * 200_000),
+}
+
+
+@pytest.mark.parametrize("response", REPEATED.values(), ids=REPEATED.keys())
+@pytest.mark.parametrize("count", [1, 2, MAX_SKIPPED_RESPONSES])
+def test_caller_gets_its_response_after_those_of_other_requests(
+    world, caller, response, count
+):
+    script = RepeatingScript(response, count)
+    upstream = world.add_upstream("i-1", script)
+    responses = send_each(caller, 4)
+    assert {(r.status, r.body) for r in responses.values()} == {(200, b"done")}
+    check_promises([script], responses)
+    # Connections that have carried a foreign response are not used again.
+    assert upstream.connection_count == 2
+
+
+def test_too_many_responses_of_other_requests_end_the_attempt(world, caller):
+    response = make_response("another")
+    script = RepeatingScript(response, MAX_SKIPPED_RESPONSES + 1)
+    world.add_upstream("i-1", script)
+    responses = send_each(caller, 2)
+    assert [response.status for response in responses.values()] == [200, 502]
+    check_promises([script], responses)
+
+
+def test_response_of_another_request_that_is_cut_off_is_not_delivered(world, caller):
+    response = make_answer_with_id("another", b"theirs" * 9)[:-20]
+    script = RepeatingScript(response)
+    world.add_upstream("i-1", script)
+    responses = send_each(caller, 2)
+    assert responses["id-0"].status == 200
+    assert responses["id-1"].status in (502, 504)
+    assert b"theirs" not in responses["id-1"].body
+
+
+def test_slow_response_of_another_request_is_skipped_across_time_limits(world, caller):
+    response = make_answer_with_id("another", b"x" * 40)
+    seen = []
+
+    def script(request, write):
+        seen.append(request)
+        if len(seen) > 1:
+            for part in (response[:20], response[20:-10], response[-10:]):
+                write(part)
+                eventlet.sleep(0.4)
+        write(make_answer(request))
+        return True
+
+    world.add_upstream("i-1", script)
+    statuses = [caller.send(PLAIN_PATH, x_attempt_id=f"id-{n}").status for n in (1, 2)]
+    assert statuses == [200, 200]
+    assert len(seen) == 2
