Refusals of interrupted calls state the outcome at the time they are raised

Callers of once-only requests got 503 with the outcome "not-run" though the request had been sent, and a request that a peer relayed was sent twice.

At the end of the grace period and when a request is blocked, the outcome was read in the task that decides, and the error was raised in the call in the next turn of the event loop. A call whose connection had just opened, or that had just been admitted, went on in between and sent its request. At a relaying peer the refusal says not-run with it, so the origin sends the request to another peer.

The error is now built right before it is raised, with nothing run in between, so it states what the call has done. For a block, whether the call still waits is checked there too; a response that has begun in the meantime goes on.

--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -107,7 +107,7 @@
     def end_requests(self):
         """Refuse or cut off the requests in progress, as the process ends."""
         for interrupter in list(self._interrupters):
-            interrupter.interrupt(_build_stop_error(interrupter.call))
+            interrupter.interrupt(_build_stop_error)
 
     def end_blocked_requests(self, fingerprint):
         """Refuse the requests that wait for an upstream which they would crash.
@@ -115,15 +115,16 @@
         *fingerprint* was blocked just now. They wait there or at this instance. Runs
         that have begun go on: if the upstream survives one, the block is lifted.
         """
-        now = self._read_clock()
         for interrupter in list(self._interrupters):
-            call = interrupter.call
-            is_queued = call.run is not None and call.run.is_waiting
-            if not is_queued and not call.awaits_admission:
-                continue
-            if fingerprint in call.crash_keys:
-                error = find_block(call, self._view.blocked, now)
-                interrupter.interrupt(error)
+            if fingerprint in interrupter.call.crash_keys:
+                interrupter.interrupt(self._find_block)
+
+    def _find_block(self, call):
+        """Return the :class:`RequestRefused` for a blocked call that waits, or None."""
+        is_queued = call.run is not None and call.run.is_waiting
+        if not is_queued and not call.awaits_admission:
+            return None
+        return find_block(call, self._view.blocked, self._read_clock())
 
     def record_beat(self, now):
         """Record that the timer has fired, which shows how late tasks are run."""
@@ -321,18 +322,29 @@
     def __exit__(self, *exc_info):
         self._interrupters.discard(self)
 
-    def interrupt(self, error):
-        """Raise *error* in the call, unless it ends before."""
-        eventlet.hubs.get_hub().schedule_call_global(0, self._throw, error)
+    def interrupt(self, build_error):
+        """Raise an error in the call, unless it ends before.
+
+        *build_error* is called with the call just before, as the call may be sent in
+        the meantime. If it returns None, the call goes on.
+        """
+        eventlet.hubs.get_hub().schedule_call_global(0, self._throw, build_error)
 
     def _handle_disconnect(self):
-        self.interrupt(CallerDisconnected("caller closed its connection"))
+        self.interrupt(_build_disconnect_error)
 
-    def _throw(self, error):
-        if self in self._interrupters:
+    def _throw(self, build_error):
+        if self not in self._interrupters:
+            return
+        error = build_error(self.call)
+        if error is not None:
             self._thread.throw(error)
 
 
+def _build_disconnect_error(call):
+    return CallerDisconnected("caller closed its connection")
+
+
 def _build_stop_error(call):
     """Return the :class:`RequestRefused` for a call that the process can't finish."""
     outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
