Status of an upstream that means "not run" is not forwarded without its word

Callers of once-only requests got 408, 429 or 503 from an upstream that had not said that it did not run the request. These statuses promise callers that it did not run, so they send it again.

Only the field X-Not-Executed and status 421 state that (PROTOCOL.md, Servers); a response without it was forwarded unchanged whatever its status. Such a request now gets 502 without the upstream's seal and body. Requests that may run twice get the response as before.

--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -24,6 +24,7 @@
 from .choice import UpstreamsUnreachable
 from .larger_model import EscalationPolicy
 from .read_limits import ReadLimitReached
+from .refusals import NOT_RUN_STATUSES
 from .results import ResultRecorder
 from .retry_reservation import RetryDenial
 from .stream import StreamRelay
@@ -297,11 +298,25 @@
                 call, attempt.upstream, "failed", f"status {attempt.head.status}"
             )
             return False
+        self._check_promise(call, attempt)
         connection.send_response(
             attempt.head.status, self._parts.select_forwarded_fields(attempt.head), body
         )
         return True
 
+    def _check_promise(self, call, attempt):
+        """Raise :class:`RequestRefused` for a status that wrongly means "not run".
+
+        An upstream that didn't run a request says so in a field, which the response
+        of *attempt* lacks. Callers would take the status for it and send the request
+        again.
+        """
+        status = attempt.head.status
+        if call.is_retryable or status not in NOT_RUN_STATUSES:
+            return
+        self._record_failed_send(call, attempt.upstream, "failed", f"status {status}")
+        raise self._build_failure_error(call, self._read_clock())
+
     def _relay_stream(self, call, connection, attempt):
         """Relay the stream, or return False to escalate to a larger model."""
         larger_model = self._escalation_policy.choose(call, attempt)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -132,6 +132,18 @@
     )
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_promises_not_run_is_not_forwarded_without_that_statement(
+    world, caller, status
+):
+    world.add_upstream("i-1", make_answer_script(b"why", status=status))
+    response = caller.send(ONCE_PATH, "POST", b"x")
+    assert response.status == 502
+    assert b"why" not in response.body
+    assert not {"x-server-seal", "retry-after"} & set(response.fields)
+    assert count_upstream_requests(world) == 1
+
+
 def test_response_to_another_request_is_not_delivered(world, caller):
     def script(request, write):
         request.fields.pairs = [("x-attempt-id", "another")]
