Relay: believe a peer's refusal or response only if it names the call

On a kept link to a peer, a late refusal of another request was taken as the answer to the next one: the call counted as not run, was refused with 503 or sent to another peer, and the link, one response behind, was kept. A late response was delivered to the next caller. Once-only requests get a new link each, so they could not meet this; they could get a 503 of the peer's server that is no refusal, and names no request, as their own.

Relayer took the refusal field and the status of whatever came next on the link. Only the upstream's responses carried the id, and it was not compared.

Now a refusal names its request in what the field encodes, and responses have to carry the call's id. Anything else is an exchange that broke: it may have run, and the link is closed. Peers of earlier releases don't name the request: their refusals are believed on a link that has had no other request, and there is none to mix it up with. On a kept link they cost a retry. Earlier releases ignore the new field.

The fault is shown with a stand-in for the peer that repeats; no way was found in which an instance itself would write such a late response.

--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -8,7 +8,7 @@
 import logging
 
 from .._errors import ConnectionBroken
-from ..platform import decode_response_id, was_not_executed
+from ..platform import get_attempt_id, was_not_executed
 
 logger = logging.getLogger("merlinnotch")
 
@@ -27,7 +27,7 @@
 
 def find_mismatch(head, attempt_id):
     """Return the :class:`Mismatch` of a response head, None if it has *attempt_id*."""
-    response_id = decode_response_id(head.fields)
+    response_id = get_attempt_id(head.fields)
     if response_id == attempt_id:
         return None
     is_refusal = was_not_executed(head.status, head.fields)
@@ -57,7 +57,7 @@
             fields = {
                 "reason": str(mismatch),
                 "request": call.headers.attempt_id,
-                "response_id": decode_response_id(head.fields),
+                "response_id": get_attempt_id(head.fields),
                 "status": head.status,
                 "upstream": upstream.id,
                 "exchanges": connection.exchange_count,
--- a/src/merlinnotch/_gateway/relay.py
+++ b/src/merlinnotch/_gateway/relay.py
@@ -19,6 +19,7 @@
     decode_refusal,
     encode_mark,
 )
+from ..platform import get_attempt_id
 from .attempt import MAX_BUFFERED_BYTES, Attempt
 from .stream import StreamRelay
 
@@ -125,10 +126,11 @@
         reader = _PeerReader(self._exchange, self._read_clock)
         head = reader.read(call, peer, link.read_head)
         call.framing = head.framing
-        refusal = head.fields.get(REFUSAL_FIELD)
+        refusal = _decode_refusal(head)
+        _check_answers(call, link, head, refusal)
         if refusal is not None:
             reader.read_body(call, peer, link)
-            raise _PeerRefused(decode_refusal(refusal))
+            raise _PeerRefused(refusal)
         if call.route.retry_policy.is_streaming and head.status == OK:
             attempt = Attempt(peer, link, head, None, started_at, 0.0)
             self._make_stream_relay(call, connection, reader).run(attempt)
@@ -233,6 +235,35 @@
         )
 
 
+def _decode_refusal(head):
+    """Return the :class:`RelayedRefusal` of a response, None if it isn't one.
+
+    Raises :class:`MalformedMessage`.
+    """
+    value = head.fields.get(REFUSAL_FIELD)
+    return None if value is None else decode_refusal(value)
+
+
+def _check_answers(call, link, head, refusal):
+    """Raise :class:`ConnectionBroken` unless the response answers *call*.
+
+    A refusal of another request would make *call* count as not run.
+    """
+    if refusal is None:
+        attempt_id = get_attempt_id(head.fields)
+    elif refusal.attempt_id is None and link.exchange_count == 1:
+        # Peers of earlier releases don't name the request, but the link has had no
+        # other one.
+        return
+    else:
+        attempt_id = refusal.attempt_id
+    if attempt_id != call.headers.attempt_id:
+        raise ConnectionBroken(
+            f"status {head.status} answers {attempt_id} on exchange "
+            f"{link.exchange_count} of the link"
+        )
+
+
 def _get_pool_key(peer):
     return ("peer", peer.name)
 
--- a/src/merlinnotch/_gateway/relay_endpoint.py
+++ b/src/merlinnotch/_gateway/relay_endpoint.py
@@ -10,6 +10,7 @@
     decode_mark,
     encode_refusal,
 )
+from ..platform import get_attempt_id
 from .sources import PeerSource
 
 logger = logging.getLogger("merlinnotch")
@@ -40,17 +41,19 @@
 
         Raises :class:`TransportError`.
         """
+        attempt_id = get_attempt_id(request.fields)
         try:
-            source = PeerSource(self._check_mark(request, sender_host))
+            source = PeerSource(self._check_mark(request, sender_host), attempt_id)
         except MalformedMessage as error:
             self._metrics.relays.labels("received", "invalid").inc()
             fields = {"host": sender_host, "reason": str(error)}
             logger.warning("invalid relayed request", extra=fields)
-            _send_refusal(connection, str(error), FORBIDDEN)
+            _send_refusal(connection, attempt_id, str(error), FORBIDDEN)
             return
         if not self.accepts_requests:
             self._metrics.relays.labels("received", "denied").inc()
-            _send_refusal(connection, "accepts no relayed requests", UNAVAILABLE)
+            detail = "accepts no relayed requests"
+            _send_refusal(connection, attempt_id, detail, UNAVAILABLE)
             return
         self._metrics.relays.labels("received", "accepted").inc()
         self._in_flight += 1
@@ -68,12 +71,13 @@
         return mark
 
 
-def _send_refusal(connection, detail, status):
+def _send_refusal(connection, attempt_id, detail, status):
     refusal = RelayedRefusal(
         kind=ErrorKind.NO_UPSTREAM,
         outcome=Outcome.NOT_RUN,
         detail=detail,
         is_elsewhere_possible=True,
+        attempt_id=attempt_id,
     )
     pairs = [(REFUSAL_FIELD, encode_refusal(refusal))]
     connection.send_response(status, pairs, detail.encode())
--- a/src/merlinnotch/_gateway/sources.py
+++ b/src/merlinnotch/_gateway/sources.py
@@ -48,12 +48,14 @@
 class PeerSource(RequestSource):
     """A request that another instance relays; *mark* is its :class:`RelayMark`.
 
+    *attempt_id* is its id, which the refusals name, None if it has none.
     The origin has authenticated the caller and drawn the service. What this instance
     can't follow it leaves to other peers.
     """
 
-    def __init__(self, mark):
+    def __init__(self, mark, attempt_id):
         self._mark = mark
+        self._attempt_id = attempt_id
         self.origin = mark.origin
 
     def admit(self, request, view):
@@ -85,6 +87,7 @@
             is_elsewhere_possible=error.kind in ELSEWHERE_KINDS
             and error.outcome is Outcome.NOT_RUN,
             send_count=call.send_count if call else 0,
+            attempt_id=self._attempt_id,
         )
         return status, [*pairs, (REFUSAL_FIELD, encode_refusal(refusal))], body
 
--- a/src/merlinnotch/_relay/fields.py
+++ b/src/merlinnotch/_relay/fields.py
@@ -37,7 +37,8 @@
     """The fields of a :class:`RequestRefused` that the relaying peer raised.
 
     *is_elsewhere_possible* tells whether another peer may take the request.
-    *send_count* is how many times the peer sent it to upstreams.
+    *send_count* is how many times the peer sent it to upstreams. *attempt_id* is the id
+    of the request; refusals of earlier releases lack it.
     """
 
     kind: ErrorKind
@@ -46,6 +47,7 @@
     retry_after_s: float | None = None
     is_elsewhere_possible: bool = False
     send_count: int = 0
+    attempt_id: str | None = None
 
 
 def encode_mark(mark):
--- a/src/merlinnotch/platform/__init__.py
+++ b/src/merlinnotch/platform/__init__.py
@@ -11,8 +11,8 @@
     decode_notice,
     decode_request,
     decode_response,
-    decode_response_id,
     encode_request,
+    get_attempt_id,
     was_not_executed,
 )
 from .keys import ALL_KEYS_PREFIX, CONFIGURATION, status_key
@@ -31,10 +31,10 @@
     "decode_notice",
     "decode_request",
     "decode_response",
-    "decode_response_id",
     "encode_request",
     "encode_status",
     "format_place",
+    "get_attempt_id",
     "is_under_pressure",
     "parse_configuration",
     "status_key",
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -234,8 +234,8 @@
     return status == MISDIRECTED_STATUS or fields.get(_NOT_RUN) is not None
 
 
-def decode_response_id(fields):
-    """Return the id of the request that a response answers, None if it has none."""
+def get_attempt_id(fields):
+    """Return the id of the request that *fields* belong to, None if they have none."""
     return fields.get(_ATTEMPT_ID)
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,14 +3,27 @@
 import logging
 
 import eventlet
+import msgspec
 import pytest
 from eventlet.event import Event
 
 from merlinnotch._entry.clock import read_clock
+from merlinnotch._errors import ErrorKind, Outcome
 from merlinnotch._poison import fingerprint_parts
-from merlinnotch._relay import RELAY_FIELD, RelayMark, encode_mark
+from merlinnotch._relay import (
+    REFUSAL_FIELD,
+    RELAY_FIELD,
+    RelayedRefusal,
+    RelayMark,
+    RelayPeer,
+    decode_refusal,
+    encode_mark,
+    encode_refusal,
+)
 from standins.platform_upstream import (
+    StandInUpstream,
     hang,
+    make_answer,
     make_answer_script,
     make_stream_script,
     refuse,
@@ -476,3 +489,156 @@
     assert call.wait().status == 502
     wait_until(lambda: upstream.disconnect_count == 1)
     assert len(upstream.requests) == 1
+
+
+EVENT = b"id: 1\ndata: late\n\n"
+NOT_RUN = RelayedRefusal(
+    kind=ErrorKind.NO_UPSTREAM, outcome=Outcome.NOT_RUN, is_elsewhere_possible=True
+)
+
+
+def make_refusal(attempt_id):
+    """Return the bytes of a peer's refusal of the request *attempt_id*."""
+    refusal = msgspec.structs.replace(NOT_RUN, attempt_id=attempt_id)
+    field = f"{REFUSAL_FIELD}: {encode_refusal(refusal)}\r\n"
+    return b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n%s\r\n" % field.encode()
+
+
+def make_late_response(request, attempt_id):
+    """Return the bytes of an answer like that to *request*, but to *attempt_id*."""
+    own = request.fields.get("x-attempt-id").encode()
+    return make_answer(request, EVENT).replace(own, attempt_id.encode())
+
+
+@pytest.fixture
+def start_with_peer(world, start_fleet):
+    """Return a function that starts an instance which relays through one peer.
+
+    The peer answers the nth request with the nth of the *scripts*.
+    """
+
+    def start_with_peer(*scripts):
+        remaining = list(scripts)
+        services = ("app", "engines")
+        for service in services:
+            world.add_upstream(f"{service}-1", make_answer_script(), service)
+        (process,) = start_fleet("one")
+        cut_off(world, process)
+        peer = StandInUpstream(lambda request, write: remaining.pop(0)(request, write))
+        world.upstreams["peer"] = peer
+        relay_peer = RelayPeer(
+            "two", "zone-a", peer.address, frozenset(services), 0, read_clock()
+        )
+        process.relay_exchange.find_peer = lambda service, excluded: (
+            None if "two" in excluded else relay_peer
+        )
+        return process, peer
+
+    return start_with_peer
+
+
+def make_late_script(make_late):
+    """Return a script that writes a late answer before that to its request."""
+
+    def script(request, write):
+        write(make_late(request))
+        write(make_answer(request, b"own"))
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize("attempt_id", ["another", None])
+def test_late_refusal_of_a_peer_does_not_count_for_the_next_request(
+    start_with_peer, attempt_id
+):
+    process, peer = start_with_peer(
+        make_answer_script(),
+        make_late_script(lambda request: make_refusal(attempt_id)),
+        make_answer_script(),
+    )
+    caller = Caller(process)
+    assert [caller.send(PLAIN_PATH).status for _ in range(3)] == [200, 502, 200]
+    assert [len(peer.requests), peer.connection_count] == [3, 2]
+
+
+@pytest.mark.parametrize("path", [PLAIN_PATH, STREAM_PATH])
+def test_late_response_of_a_peer_is_not_delivered_to_the_next_caller(
+    start_with_peer, path
+):
+    process, peer = start_with_peer(
+        make_answer_script(),
+        make_late_script(lambda request: make_late_response(request, "another")),
+        make_answer_script(),
+    )
+    caller = Caller(process)
+    answers = [caller.send(path) for path in (PLAIN_PATH, path, PLAIN_PATH)]
+    assert [answer.status for answer in answers] == [200, 502, 200]
+    assert peer.connection_count == 2
+
+
+def test_response_of_a_peer_that_names_no_request_is_not_delivered(start_with_peer):
+    def answer_without_id(request, write):
+        write(b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")
+        return True
+
+    process, _ = start_with_peer(answer_without_id)
+    assert Caller(process).send(ONCE_PATH, "POST", b"x").status == 502
+
+
+@pytest.mark.parametrize("names_request", [True, False])
+def test_refusal_on_a_new_link_to_a_peer_still_means_not_run(
+    start_with_peer, names_request
+):
+    def refuse_relay(request, write):
+        attempt_id = request.fields.get("x-attempt-id")
+        write(make_refusal(attempt_id if names_request else None))
+        return True
+
+    process, _ = start_with_peer(refuse_relay)
+    assert Caller(process).send(ONCE_PATH, "POST", b"x").status == 503
+
+
+def test_refusal_that_names_its_request_is_believed_on_a_kept_link(start_with_peer):
+    def refuse_relay(request, write):
+        write(make_refusal(request.fields.get("x-attempt-id")))
+        return True
+
+    process, peer = start_with_peer(
+        make_answer_script(), refuse_relay, make_answer_script()
+    )
+    caller = Caller(process)
+    assert [caller.send(PLAIN_PATH).status for _ in range(3)] == [200, 503, 200]
+    assert peer.connection_count == 1
+
+
+@pytest.mark.parametrize("cause", ["host", "denied", "admission", "no upstream"])
+def test_each_refusal_of_a_peer_names_its_request(world, start_fleet, cause):
+    world.add_upstream("i-1", make_answer_script(), "app")
+    origin, process = start_fleet("one", "two")
+    mark = RelayMark(
+        origin="nobody" if cause == "host" else "one",
+        configuration_version=99 if cause == "admission" else 1,
+        team="team-a",
+        service="app",
+        remaining_s=5.0,
+    )
+    if cause == "denied":
+        process.gateway.is_shutting_down = True
+    if cause == "no upstream":
+        cut_off(world, process)
+    caller = Caller(process)
+    caller.address = process.settings.instance.peer_address
+    data = caller.encode(PLAIN_PATH, x_attempt_id="asked").replace(
+        b"\r\n\r\n", b"\r\nmerlinnotch-relay: %s\r\n\r\n" % encode_mark(mark).encode()
+    )
+    sock = caller.open()
+    sock.sendall(data)
+    refusal = decode_refusal(get_raw_field(read_to_end(sock), REFUSAL_FIELD))
+    assert (refusal.attempt_id, refusal.outcome) == ("asked", Outcome.NOT_RUN)
+
+
+def get_raw_field(data, name):
+    """Return the value of a header field, whose case Answer doesn't keep."""
+    lines = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+    return next(line.partition(": ")[2] for line in lines if line.startswith(name))
--- a/tests/relay/test_fields.py
+++ b/tests/relay/test_fields.py
@@ -1,5 +1,8 @@
 """Header fields of relayed requests."""
 
+import base64
+
+import msgspec
 import pytest
 
 from merlinnotch._errors import ErrorKind, MalformedMessage, Outcome
@@ -40,6 +43,12 @@
     assert decode_refusal(encode_refusal(refusal)) == refusal
 
 
+def test_refusal_of_an_earlier_release_names_no_request():
+    fields = {"kind": "no_upstream", "outcome": "not-run"}
+    value = base64.urlsafe_b64encode(msgspec.msgpack.encode(fields)).decode()
+    assert decode_refusal(value).attempt_id is None
+
+
 @pytest.mark.parametrize("value", ["", "x", "AAAA", "gA==", "ä"])
 def test_invalid_mark_is_rejected(value):
     with pytest.raises(MalformedMessage):
