Don't take answers to a previous process for permits or leases

After a restart an instance could use a permit or a slot lease that had been granted to the process before, for another upstream: a limited upstream got a request beyond its limit, a brittle one a request without a lease, while the lease that was granted was held until its end.

Questions were numbered from 1 in each process, and an answer is matched by its number alone. An issuer that was frozen, or one at which the question waited for a slot, answers when the next process has asked a question of the same number.

Numbers now begin with the time at which the process starts, like the ids of permits and leases.

--- a/src/merlinnotch/_entry/permit_exchange.py
+++ b/src/merlinnotch/_entry/permit_exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import time
 
 import eventlet
 from eventlet.event import Event
@@ -68,7 +69,8 @@
         self._name = name
         self._address = address
         self._view = view
-        self._numbers = itertools.count(1)
+        # Answers to a previous process may still arrive.
+        self._numbers = itertools.count(time.time_ns())
         self._events = {}
         self._unanswered = collections.OrderedDict()
         transport.handle(MessageKind.PERMIT_ANSWER, self._handle_answer)
--- a/src/merlinnotch/_entry/slot_exchange.py
+++ b/src/merlinnotch/_entry/slot_exchange.py
@@ -52,7 +52,8 @@
         self._count = count
         self._book = BrittleBook()
         self._issuer = SlotIssuer(first_id=time.time_ns())
-        self._numbers = itertools.count(1)
+        # Answers to a previous process may still arrive.
+        self._numbers = itertools.count(time.time_ns())
         self._events = {}
         transport.handle(MessageKind.SLOT_QUESTION, self._handle_question)
         transport.handle(MessageKind.SLOT_ANSWER, self._handle_answer)
--- a/tests/entry/test_permit_exchange.py
+++ b/tests/entry/test_permit_exchange.py
@@ -1,6 +1,7 @@
 """Permits between instances, with messages that are lost and late."""
 
 import contextlib
+import itertools
 
 import eventlet
 import pytest
@@ -292,6 +293,40 @@
     assert len(network.sent_kinds) == sent_before + message_count
 
 
+def test_permit_that_was_issued_to_the_process_before_is_not_used(
+    members, issuer, asker, network, clock
+):
+    other = find_upstream_of(issuer, members)
+    members[2].name_limit(LIMIT_PER_S, 99.0, clock.now)
+    members[2].acquire()
+    clock.now += 0.6
+    network.holds = lambda kind, address: kind.name == "PERMIT_ANSWER"
+    assert asker.acquire() is None
+    restarted = Member(asker.exchange._name, network, clock)
+    restarted.exchange.record_response(
+        other, LIMIT_PER_S, True, 99.0, clock.now, NO_PERMIT_NEEDED
+    )
+    network.holds = lambda kind, address: kind.name == "PERMIT_REQUEST"
+    asking = eventlet.spawn(restarted.exchange.acquire, other, False)
+    eventlet.sleep(0)
+    network.deliver_held()
+    # The first permit of an upstream is due after a moment.
+    assert asking.wait() is None
+
+
+def find_upstream_of(issuer, members):
+    """Return another upstream that *issuer* issues the permits for."""
+    name, fleet = issuer.exchange._name, issuer.exchange._fleet
+    upstreams = (
+        Upstream(f"i-{n}", "app", "10.0.0.2:80", "zone-a", "v1", 4, started_ms=7)
+        for n in itertools.count(2)
+    )
+    other = next(u for u in upstreams if fleet.find_issuer(u) == name)
+    for member in members:
+        member.view.upstreams[other.start] = other
+    return other
+
+
 def test_new_start_has_no_limit(issuer, clock):
     issuer.name_limit(LIMIT_PER_S, 99.0, clock.now)
     issuer.exchange.forget_start(START)
--- a/tests/entry/test_slot_exchange.py
+++ b/tests/entry/test_slot_exchange.py
@@ -21,6 +21,7 @@
 ISSUER = "one"
 SLOTS = 4
 UPSTREAM = Upstream("i-1", "app", "10.0.0.1:80", "zone-a", "v1", SLOTS, started_ms=7)
+OTHER = Upstream("i-2", "app", "10.0.0.2:80", "zone-a", "v1", SLOTS, started_ms=7)
 REMAINING_S = 2.0
 
 
@@ -41,7 +42,7 @@
         return list(self.peers.values())
 
     def find_start(self, start):
-        return UPSTREAM if start == UPSTREAM.start else None
+        return next((u for u in (UPSTREAM, OTHER) if u.start == start), None)
 
 
 class Fleet:
@@ -51,20 +52,22 @@
         self.network = Network()
         self.clock = Clock()
         self.results = []
-        issuers = types.SimpleNamespace(find_issuer=lambda upstream: ISSUER)
-        self.exchanges = {
-            name: SlotExchange(
-                self.network.add(name),
-                name,
-                name,
-                View(),
-                issuers,
-                LoadTable(lambda service: None),
-                self.clock.read,
-                self.results.append,
-            )
-            for name in NAMES
-        }
+        self.exchanges = {}
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name):
+        """Start the instance *name*, again if it runs."""
+        self.exchanges[name] = SlotExchange(
+            self.network.add(name),
+            name,
+            name,
+            View(),
+            types.SimpleNamespace(find_issuer=lambda upstream: ISSUER),
+            LoadTable(lambda service: None),
+            self.clock.read,
+            self.results.append,
+        )
 
     def acquire(self, name, wait_s=0.0):
         return self.exchanges[name].acquire(UPSTREAM, REMAINING_S, wait_s)
@@ -162,3 +165,21 @@
     with eventlet.Timeout(10 * ANSWER_TIMEOUT_S):
         assert fleet.acquire("two", wait_s=0.05) is None
     assert fleet.results[-1] == "denied"
+
+
+def test_lease_that_was_granted_to_the_process_before_is_not_used(fleet):
+    now = fleet.clock.now
+    fleet.start("two")
+    fleet.exchanges["two"].record_response(UPSTREAM.start, True, now, now)
+    fleet.lose(MessageKind.SLOT_ANSWER)
+    assert fleet.acquire("two") is None
+    fleet.start("two")
+    fleet.exchanges["two"].record_response(OTHER.start, True, now, now)
+    fleet.lose(MessageKind.SLOT_QUESTION)
+    asking = eventlet.spawn(fleet.exchanges["two"].acquire, OTHER, REMAINING_S)
+    eventlet.sleep(0)
+    fleet.network.deliver_held()
+    assert asking.wait().id
+    issuer = fleet.exchanges[ISSUER]._issuer
+    leases = [issuer.count_leases(u.start, now) for u in (UPSTREAM, OTHER)]
+    assert leases == [0, 1]
