Replies that can't answer a call to the store are not believed

Callers of the OpenAI-compatible front door could be told "not run" for a request that another instance had claimed: any 404 counted as "no such key", and the rows of another key as the listing that was asked for, so that a query for the claim found none. Any reply with status 200 and a value that isn't false counted as a write that took effect. So would a reply to another call, or one from whatever else listens at the address.

The client took the status and the truth of the body for the answer. It now requires what ties a reply to its call: a listing has the store's index and only rows of the keys asked for, a write is confirmed or denied by a boolean. Anything else is an unavailable store, whose outcome is unknown, and the idle connections are closed, as one may be out of step. A late boolean of another write still looks like an answer; that is prevented only by closing the connection of a call that was given up.

--- a/src/merlinnotch/_store/http.py
+++ b/src/merlinnotch/_store/http.py
@@ -16,6 +16,7 @@
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
+INDEX_HEADER = "X-Consul-Index"
 WATCH_GRACE_S = 2.0
 
 
@@ -25,8 +26,9 @@
     *addresses* are host:port strings; after a failure further calls use the next one.
     *timeout_s* limits each call except watches, whose limit depends on their wait.
     The connection of a timed-out call is closed, because a late reply could be taken
-    for that of another call. *on_call* is called with the kind of each call, for
-    metrics. *source_ip* is the local address of connections.
+    for that of another call. A reply that can't be the answer to its call counts as an
+    unavailable store, and all idle connections are closed. *on_call* is called with the
+    kind of each call, for metrics. *source_ip* is the local address of connections.
     """
 
     def __init__(self, addresses, timeout_s=1.0, on_call=None, source_ip=None):
@@ -57,17 +59,17 @@
     def swap(self, key, value, modify_index):
         self._on_call("write")
         path = f"/v1/kv/{urllib.parse.quote(key)}?cas={modify_index}"
-        if not self._call("PUT", path, value):
+        if not self._write("PUT", path, value):
             raise StoreConflict(key)
 
     def put(self, key, value):
         self._on_call("write")
-        self._call("PUT", f"/v1/kv/{urllib.parse.quote(key)}", value)
+        self._write("PUT", f"/v1/kv/{urllib.parse.quote(key)}", value)
 
     def delete(self, key, modify_index):
         self._on_call("write")
         path = f"/v1/kv/{urllib.parse.quote(key)}?cas={modify_index}"
-        if not self._call("DELETE", path):
+        if not self._write("DELETE", path):
             raise StoreConflict(key)
 
     def open_lease(self, ttl_s, name):
@@ -88,7 +90,7 @@
     def acquire(self, key, value, lease):
         self._on_call("write")
         path = f"/v1/kv/{urllib.parse.quote(key)}?acquire={lease}"
-        return bool(self._call("PUT", path, value))
+        return self._write("PUT", path, value)
 
     def _read_listing(self, prefix, recurse, query, timeout_s):
         if recurse:
@@ -97,9 +99,31 @@
         reply = self._send("GET", path, None, timeout_s)
         if reply.status not in (HTTP_OK, HTTP_NOT_FOUND):
             raise StoreUnavailable(f"status {reply.status}")
+        index = reply.headers.get(INDEX_HEADER)
+        if index is None:
+            # The store also sends it with "no such key"; another server doesn't.
+            raise self._reject("listing without an index")
         rows = _decode(reply.data) if reply.status == HTTP_OK else []
+        if not _are_rows(rows, prefix, recurse):
+            raise self._reject("listing of something else")
         items = tuple(_parse_item(row) for row in rows)
-        return Listing(items, int(reply.headers.get("X-Consul-Index", 0)))
+        return Listing(items, int(index))
+
+    def _write(self, method, path, body=None):
+        """Return whether a write of a key took effect."""
+        is_written = self._call(method, path, body)
+        if not isinstance(is_written, bool):
+            raise self._reject("reply to a write is not a boolean")
+        return is_written
+
+    def _reject(self, detail):
+        """Return the error for a reply that belongs to another call.
+
+        The connection may be out of step, and with it the later replies.
+        """
+        self._http.clear()
+        self._address = next(self._addresses)
+        return StoreUnavailable(detail)
 
     def _call(self, method, path, body=None):
         reply = self._send(method, path, body, self._timeout_s)
@@ -130,6 +154,16 @@
         raise StoreUnavailable(f"malformed reply: {error}") from error
 
 
+def _are_rows(rows, prefix, recurse):
+    """Return whether *rows* can be the listing of *prefix*."""
+    if not isinstance(rows, list):
+        return False
+    keys = [row.get("Key") if isinstance(row, dict) else None for row in rows]
+    if recurse:
+        return all(key is not None and key.startswith(prefix) for key in keys)
+    return all(key == prefix for key in keys)
+
+
 def _parse_item(row):
     value = base64.b64decode(row["Value"] or "")
     return Item(row["Key"], value, row["ModifyIndex"], row.get("Session"))
