Errors of the rating service are not believed as ratings

While the rating service answered 503, callers still got cascades: the first answer was generated, never rated and replaced by a second one. A poll failed with a TypeError.

Raters.rate() decoded the body whatever the status, found no score and reset the count of failures, so that can_rate stayed true; run_once() reset it before it looked at the rows. A list of ratings in place of a score ended the caller's request with an AttributeError. A status other than 2xx and a value of another type are failures now.

--- a/src/merlinnotch/_upstreams/ratings.py
+++ b/src/merlinnotch/_upstreams/ratings.py
@@ -23,6 +23,7 @@
 """How long ratings are polled for after the last answer was sent for rating."""
 
 MAX_CONSECUTIVE_FAILURES = 5
+SUCCESS_STATUSES = range(200, 300)
 
 
 class RatingsUnavailable(MerlinnotchError):
@@ -68,7 +69,7 @@
             body = json.dumps(
                 self._build_rating_request(call, version, text, RATING_WAIT_S)
             )
-            rating = self._send("POST", RATINGS_PATH, body, RATING_TIMEOUT_S)
+            rating = self._send("POST", RATINGS_PATH, body, RATING_TIMEOUT_S, dict)
         except RatingsUnavailable:
             self._consecutive_failures += 1
             return None
@@ -94,7 +95,7 @@
         if now > self._poll_until:
             return
         query = f"?source={self._instance}&after={self._last_sequence}"
-        ratings = self._send("GET", f"{RATINGS_PATH}{query}", None, TIMEOUT_S)
+        ratings = self._send("GET", f"{RATINGS_PATH}{query}", None, TIMEOUT_S, list)
         self._consecutive_failures = 0
         for rating in ratings:
             self._last_sequence = max(self._last_sequence, rating["sequence"])
@@ -111,16 +112,25 @@
             "wait_ms": int(wait_s * 1000),
         }
 
-    def _send(self, method, path, body, timeout_s):
+    def _send(self, method, path, body, timeout_s, reply_type=object):
+        """Return the decoded reply; raises :class:`RatingsUnavailable`.
+
+        A reply that is no *reply_type* is not the answer to this call.
+        """
         url = f"http://{self._address}{path}"
         headers = {"Content-Type": "application/json"}
         try:
             reply = self._http.request(
                 method, url, body=body, headers=headers, timeout=timeout_s
             )
-            return json.loads(reply.data)
+            if reply.status not in SUCCESS_STATUSES:
+                raise RatingsUnavailable(f"status {reply.status}")
+            value = json.loads(reply.data)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise RatingsUnavailable(str(error)) from error
+        if not isinstance(value, reply_type):
+            raise RatingsUnavailable(f"reply is no {reply_type.__name__}")
+        return value
 
     def _record_score(self, version_id, kind, score):
         meets_target = score >= self._get_target(kind)
