A call that is ended while it asks for a permit is not sent any more

A call that was ended (end of the grace period, a block) while it asked for the permit or the lease of a second upstream went on: it waited for a slot of the first one and was sent if it got one, to be cut off when the process exited.

PermittedChooser took every refusal after a full upstream for one of the choice, also the one that is raised in the call to end it. Now only the choice itself, which doesn't wait, is asked for its refusal.

The test failed before: the call was given a slot and nothing was raised.

--- a/src/merlinnotch/_gateway/permitted_choice.py
+++ b/src/merlinnotch/_gateway/permitted_choice.py
@@ -35,19 +35,12 @@
         If all slots are taken, it waits for one a moment. Raises
         :class:`RequestRefused` if no upstream can be selected.
         """
-        full = []
-        try:
-            return self._choose_permitted(
-                call,
-                lambda denied_starts, now: self._chooser.choose_upstream(
-                    call, now, denied_starts
-                ),
-                full,
-            )
-        except RequestRefused as error:
-            if not full:
-                raise
-            return self._wait_for_slot(call, full, error)
+        return self._choose_permitted(
+            call,
+            lambda denied_starts, now: self._chooser.choose_upstream(
+                call, now, denied_starts
+            ),
+        )
 
     def choose_reachable(self, call, excluded_starts):
         """Return the :class:`Choice` of a reachable upstream, or None.
@@ -59,7 +52,6 @@
             lambda denied_starts, now: self._chooser.choose_reachable(
                 call, excluded_starts | denied_starts, now
             ),
-            [],
         )
 
     def has_reachable(self, call, excluded_starts):
@@ -82,15 +74,22 @@
         else:
             self._slots.release(choice.lease, was_rejected)
 
-    def _choose_permitted(self, call, choose, full):
+    def _choose_permitted(self, call, choose):
         """Return the first choice of *choose* that gets permit and lease, or None.
 
-        *choose* is called with the starts that were denied them, and the time. The
-        choices without a free slot are added to *full*.
+        *choose* is called with the starts that were denied them, and the time. If it
+        refuses the call, one of the choices without a free slot is waited for.
         """
         denied_starts = set()
+        full = []
         while True:
-            choice = choose(denied_starts, self._read_clock())
+            # Only here: a refusal while a permit or a lease is asked for ends the call.
+            try:
+                choice = choose(denied_starts, self._read_clock())
+            except RequestRefused as error:
+                if not full:
+                    raise
+                return self._wait_for_slot(call, full, error)
             if choice is None:
                 return None
             permitted = self._get_permit(choice)
--- a/tests/gateway/test_permitted_choice.py
+++ b/tests/gateway/test_permitted_choice.py
@@ -168,3 +168,18 @@
     assert len(delayed) == 1
     choosing.permitted.finish(choice)
     assert [lease.id for lease in choosing.slots.released] == [7]
+
+
+def test_call_that_is_ended_while_it_asks_for_a_permit_waits_for_no_slot():
+    choosing = Choosing("ab", {"a": NO_PERMIT_NEEDED, "b": NO_PERMIT_NEEDED})
+    choosing.slots.leases = {"a": None}
+    choosing.slots.waiting = {"a": SlotLease("a", 7, "one")}
+
+    def end_second():
+        if len(choosing.permits.questions) == 2:
+            raise RequestRefused(ErrorKind.SHUTTING_DOWN)
+
+    choosing.permits.on_acquire = end_second
+    with pytest.raises(RequestRefused) as caught:
+        choosing.permitted.choose_upstream(CALL)
+    assert caught.value.kind is ErrorKind.SHUTTING_DOWN
