Don't end a lease in use when its answer arrives twice

If the network repeated the datagram with which an issuer grants a slot lease, the lease was given back while its request was under way, and the slot granted again: a brittle upstream then got one request more than it has slots.

An answer to a question that is no longer open was always taken for one that came too late. Answers that were passed on are now remembered by number and lease, a few hundred of them. A second lease for the same question, after a repeated question, still goes back at once. Permits keep the open questions instead and don't have this fault.

test_repeated_message_does_not_end_the_lease_in_use failed before for the answer; for the question it passed before and after.

--- a/src/merlinnotch/_entry/slot_exchange.py
+++ b/src/merlinnotch/_entry/slot_exchange.py
@@ -1,5 +1,6 @@
 """Leases on slots of brittle upstreams, and their messages over datagrams."""
 
+import collections
 import dataclasses
 import itertools
 import logging
@@ -27,6 +28,8 @@
 """Time for the answer of an issuer, beside the wait for a slot."""
 LIFETIME_MARGIN_S = 1.0
 """Time after the deadline of a request within which its release arrives."""
+MAX_ANSWERED = 256
+"""Bounds memory. A datagram that the network repeats arrives soon after the first."""
 REPORT_TTL_S = 0.3
 """How long an upstream's own count of its requests is used."""
 
@@ -55,6 +58,7 @@
         # Answers to a previous process may still arrive.
         self._numbers = itertools.count(time.time_ns())
         self._events = {}
+        self._answered = collections.OrderedDict()
         transport.handle(MessageKind.SLOT_QUESTION, self._handle_question)
         transport.handle(MessageKind.SLOT_ANSWER, self._handle_answer)
         transport.handle(MessageKind.SLOT_RELEASE, self._handle_release)
@@ -141,16 +145,27 @@
             del self._events[number]
 
     def _deliver(self, number, start, lease_id):
-        """Pass an answer to its asker, or end a lease that comes too late."""
+        """Pass an answer to its asker, or end a lease that comes too late.
+
+        An answer that arrives twice doesn't end the lease, which may be in use.
+        """
         event = self._events.get(number)
         if event is not None and not event.ready():
+            self._record_answered(number, lease_id)
             event.send(lease_id)
             return
+        if self._answered.get(number) == lease_id:
+            return
         upstream = self._view.find_start(start)
         if lease_id and upstream is not None:
             issuer = self._fleet.find_issuer(upstream) or ""
             self.release(SlotLease(start, lease_id, issuer))
 
+    def _record_answered(self, number, lease_id):
+        self._answered[number] = lease_id
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+
     def _decide(self, upstream, question, answer):
         """Call *answer* with the id of a lease, at once or when a slot is free."""
         now = self._read_clock()
--- a/tests/entry/test_slot_exchange.py
+++ b/tests/entry/test_slot_exchange.py
@@ -183,3 +183,12 @@
     issuer = fleet.exchanges[ISSUER]._issuer
     leases = [issuer.count_leases(u.start, now) for u in (UPSTREAM, OTHER)]
     assert leases == [0, 1]
+
+
+@pytest.mark.parametrize("kind", [MessageKind.SLOT_QUESTION, MessageKind.SLOT_ANSWER])
+def test_repeated_message_does_not_end_the_lease_in_use(fleet, kind):
+    lease = fleet.acquire("two")
+    fleet.network.repeat_last(kind)
+    assert len(fleet.acquire_all()) == SLOTS - 1
+    fleet.exchanges["two"].release(lease)
+    assert fleet.acquire("two").id
