Store: reject replies that can't belong to their call

The reply to another call was believed: an item or a page as a watch without changes up to its revision, so that the mirror would skip changes; a watch as an empty listing; an item of another key; any JSON object as a write or a lease that succeeded; a conflict about other keys as a write that was not made.

All fields of replies had defaults, so that msgspec decoded any object as any reply, and nothing was compared with the call.

Nothing in a reply names its call, so this can't be complete. The fields that the protocol names for each reply are required now, keys have to be those asked for or begin with the prefix, a write has to have a later revision than the one it expected. The idle connections are closed, as one of them may be a reply behind. What stays believed: a 404, a lease renewal, a 412 without items, and a reply of the same kind and keys.

The protocol names no repeated replies for the store, so this is a defence. It requires "events" and "at" in each reply to a watch, also in one without changes.

--- a/src/merlinnotch/platform/store.py
+++ b/src/merlinnotch/platform/store.py
@@ -62,22 +62,26 @@
 
 
 class _PageReply(msgspec.Struct, rename="kebab"):
-    items: list[_ItemRow] = []
+    items: list[_ItemRow]
+    at: int
     has_more: bool = False
-    at: int = 0
 
 
 class _ChangesReply(msgspec.Struct, rename="kebab"):
-    events: list[_ItemRow] = []
-    at: int = 0
+    events: list[_ItemRow]
+    at: int
 
 
 class _TransactionReply(msgspec.Struct, rename="kebab"):
-    revision: int = 0
+    revision: int
+
+
+class _ConflictReply(msgspec.Struct, rename="kebab"):
+    items: list[_ItemRow] = []
 
 
 class _LeaseReply(msgspec.Struct, rename="kebab"):
-    lease_id: int = NO_LEASE
+    lease_id: int
     ttl_ms: int = 0
 
 
@@ -98,6 +102,9 @@
     metrics. A connection is closed after a failure, because the store sends nothing
     more on a connection whose reply was lost.
 
+    Replies don't name their call. One that can't belong to it, by its fields, keys or
+    revision, is rejected.
+
     The store's era rises each time it is restored from a copy, and with it all indexes.
     Replies of an earlier era are rejected. *on_restored* is called when the era
     rises; calls under way are then ended.
@@ -132,8 +139,7 @@
     def set_address(self, address):
         """Use another address for all further calls."""
         self.address = address
-        while self._idle_connections:
-            self._idle_connections.pop().close()
+        self._close_idle()
 
     def read(self, prefix, recurse=False):
         if not recurse:
@@ -150,6 +156,7 @@
             if era not in (None, self.era):
                 raise ChangesExpired("the store was restored between two pages")
             era = self.era
+            self._check_keys(reply.items, prefix)
             # Items may change between two pages. A watch from the revision of the
             # first page reports those changes.
             revision = reply.at if revision is None else revision
@@ -172,6 +179,7 @@
         wait_s += WATCH_GRACE_S
         reply = self._get("watch", "/kv-watch", query, _ChangesReply, wait_s)
         self._check_watch_era(index)
+        self._check_keys(reply.events, prefix)
         latest = {row.key: row for row in reply.events}
         written = tuple(self._build_item(r) for r in latest.values() if not r.deleted)
         deleted = tuple(row.key for row in latest.values() if row.deleted)
@@ -191,7 +199,7 @@
         body = {"ttl-ms": int(ttl_s * 1000)}
         status, data = self._call("lease", "POST", "/kv-lease", body)
         _check_status(status, (OK,))
-        return PlatformLease(_decode(data, _LeaseReply).lease_id, self.era)
+        return PlatformLease(self._decode(data, _LeaseReply).lease_id, self.era)
 
     def renew_lease(self, lease):
         self._check_lease_era(lease)
@@ -227,7 +235,9 @@
         if status == NOT_FOUND:
             return Listing((), 0)
         _check_status(status, (OK,))
-        item = self._build_item(_decode(data, _ItemRow))
+        row = self._decode(data, _ItemRow)
+        self._check_key(row, key)
+        item = self._build_item(row)
         return Listing((item,), item.modify_index)
 
     def _write(self, key, value, lease, modify_index):
@@ -250,13 +260,19 @@
             row = {"key": key, "revision": get_revision(modify_index)}
             body["expected"].append(row)
         status, data = self._call("write", "POST", "/kv-txn", body)
+        if status == PRECONDITION_FAILED:
+            for row in self._decode(data, _ConflictReply).items:
+                self._check_key(row, key)
         if status in (PRECONDITION_FAILED, NOT_FOUND):
             raise StoreConflict(key)
         _check_status(status, (OK,))
         if era not in (None, self._era):
             # The base may have been another write with the same revision.
             raise StoreConflict(f"{key}: the store was restored")
-        return build_index(self.era, _decode(data, _TransactionReply).revision)
+        revision = self._decode(data, _TransactionReply).revision
+        if modify_index is not None and revision <= get_revision(modify_index):
+            self._reject(f"reply has the old revision {revision}")
+        return build_index(self.era, revision)
 
     def _check_watch_era(self, index):
         """Raise :class:`ChangesExpired` if the era of *index* has ended."""
@@ -280,7 +296,7 @@
         if status == GONE:
             raise ChangesExpired(path)
         _check_status(status, (OK,))
-        return _decode(data, reply_type)
+        return self._decode(data, reply_type)
 
     def _call(self, kind, method, path, body=None, query=None, timeout_s=None):
         self._on_call(kind)
@@ -333,6 +349,32 @@
         """End the calls under way, which belong to the era before."""
         for connection in list(self._busy_connections):
             connection.abort()
+        self._close_idle()
+
+    def _decode(self, data, reply_type):
+        try:
+            return msgspec.json.decode(data, type=reply_type)
+        except msgspec.MsgspecError as error:
+            self._reject(f"malformed reply: {error}")
+
+    def _check_key(self, row, key):
+        if row.key != key:
+            self._reject(f"reply is about the key {row.key}")
+
+    def _check_keys(self, rows, prefix):
+        for row in rows:
+            if not row.key.startswith(prefix):
+                self._reject(f"reply is about the key {row.key}")
+
+    def _reject(self, reason):
+        """Raise :class:`StoreUnavailable` for a reply that can't belong to its call.
+
+        Its connection, one of the idle ones, may be a reply behind.
+        """
+        self._close_idle()
+        raise StoreUnavailable(reason)
+
+    def _close_idle(self):
         while self._idle_connections:
             self._idle_connections.pop().close()
 
@@ -357,10 +399,3 @@
 def _check_status(status, accepted):
     if status not in accepted:
         raise StoreUnavailable(f"status {status}")
-
-
-def _decode(data, reply_type):
-    try:
-        return msgspec.json.decode(data, type=reply_type)
-    except msgspec.MsgspecError as error:
-        raise StoreUnavailable(f"malformed reply: {error}") from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,9 +7,11 @@
 
 from merlinnotch._entry.clock import read_clock
 from merlinnotch._errors import ChangesExpired, StoreConflict, StoreUnavailable
+from merlinnotch._http import HttpServer
 from merlinnotch._store import get_revision
 from merlinnotch.platform import PlatformStore
 from standins.platform_store import StandInStore
+from standins.platform_upstream import StandInUpstream
 
 
 @pytest.fixture
@@ -246,3 +248,54 @@
     store.advance_era(server.era)
     with pytest.raises(StoreConflict):
         store.renew_lease(lease)
+
+
+def answer_always(status, reply):
+    """Return the address of a store that sends the same *reply* to each call."""
+
+    def respond(request):
+        return status, [("content-type", "application/json")], reply
+
+    return HttpServer("127.0.0.1:0", respond, read_clock).address
+
+
+ITEM = b'{"key": "b", "value": "eA==", "revision": 9, "lease-id": 0, "at": 9}'
+PAGE = b'{"items": [{"key": "b", "revision": 9}], "has-more": false, "at": 9}'
+CHANGES = b'{"events": [{"key": "b", "revision": 9}], "at": 9}'
+WRITTEN = b'{"revision": 3}'
+LEASE = b'{"lease-id": 7, "ttl-ms": 5000}'
+
+
+@pytest.mark.parametrize(
+    ("call", "status", "reply"),
+    [
+        (lambda store: store.read("a"), 200, ITEM),
+        (lambda store: store.read("a", recurse=True), 200, CHANGES),
+        (lambda store: store.read("a", recurse=True), 200, PAGE),
+        (lambda store: store.read_changes("", 0, 0.1), 200, ITEM),
+        (lambda store: store.read_changes("", 0, 0.1), 200, PAGE),
+        (lambda store: store.read_changes("a", 0, 0.1), 200, CHANGES),
+        (lambda store: store.put("a", b"1"), 200, LEASE),
+        (lambda store: store.swap("a", b"1", 3), 200, WRITTEN),
+        (lambda store: store.swap("a", b"1", 3), 412, PAGE),
+        (lambda store: store.open_lease(5.0, "me"), 200, WRITTEN),
+    ],
+)
+def test_reply_to_another_call_is_not_believed(call, status, reply):
+    store = PlatformStore(answer_always(status, reply), read_clock, 0.3)
+    with pytest.raises(StoreUnavailable):
+        call(store)
+
+
+def test_connection_with_a_reply_to_another_call_is_closed():
+    def write_item(request, write):
+        write(b"HTTP/1.1 200 X\r\ncontent-length: %d\r\n\r\n" % len(ITEM) + ITEM)
+        return True
+
+    server = StandInUpstream(write_item)
+    store = PlatformStore(server.address, read_clock, 0.3)
+    store.read("b")
+    with pytest.raises(StoreUnavailable):
+        store.read("a")
+    store.read("b")
+    assert server.connection_count == 2
