The connection of an attempt that is given up at its head is closed

An upstream got the rest of a long body after its request had been given up, when it responded early with a malformed field, or refused and the caller left while the body of the refusal was due.

Cause: AttemptSender closed the connection for errors up to the response head and not for those while the head was looked at, nor while a refusal's body was read. The green thread that writes the body kept it open and went on.

Change: both belong to the same exchange; any error but "not run" closes it.

--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -143,10 +143,12 @@
                     rank = call.rank
                 urgency = choose_urgency(estimate.prefill_ms, upstream.slots, rank)
             head = self._exchange(call, upstream, connection, until, urgency)
+            attempt = self._process_head(call, choice, connection, head, started_at)
+        except NotRun:
+            raise
         except BaseException:
             connection.close()
             raise
-        attempt = self._process_head(call, choice, connection, head, started_at)
         if placement_request.model and estimate.uncached_tokens:
             self._prefill_rates.record(
                 placement_request.model,
@@ -204,7 +206,6 @@
                 )
             raise NotRun(f"status {head.status}", head.status)
         if head.status in SUCCESS_STATUSES and not response_info.sealed:
-            connection.close()
             raise ConnectionBroken("successful response lacks the upstream's seal")
         return Attempt(
             upstream, connection, head, response_info, started_at, now - started_at
--- a/tests/gateway/test_early_responses.py
+++ b/tests/gateway/test_early_responses.py
@@ -7,7 +7,7 @@
 import pytest
 from eventlet.green import socket
 
-from tests.platform_world import ONCE_PATH, Caller, make_configuration
+from tests.platform_world import ONCE_PATH, Caller, make_configuration, wait_until
 
 SEED = 7
 REQUEST_COUNT = 12
@@ -24,12 +24,15 @@
 
     *respond* returns the response to the request with an id. *bodies* are pairs of an
     id and its whole body. *foreign* holds the heads that belong to no request.
+    *responded* is the number of responses, *closed* that of connections that ended.
     """
 
     def __init__(self, respond):
         self._respond = respond
         self.bodies = []
         self.foreign = []
+        self.responded = 0
+        self.closed = 0
         self._listener = socket.socket()
         self._listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
@@ -58,12 +61,14 @@
                     return
                 attempt_id = re.search(rb"x-attempt-id: (\S+)", head).group(1).decode()
                 sock.sendall(self._respond(attempt_id))
+                self.responded += 1
                 length = int(re.search(rb"content-length: (\d+)", head).group(1))
                 body, data = self._read_body(sock, data, length)
                 self.bodies.append((attempt_id, body))
         except (EOFError, OSError):
             return
         finally:
+            self.closed += 1
             sock.close()
 
     def _read_head(self, sock, data):
@@ -127,10 +132,15 @@
     return random.Random(size).randbytes(size)
 
 
-def test_rest_of_a_body_is_not_replaced_by_the_next_request(world, upstreams, answered):
+def start_caller(world):
+    """Return a caller of an instance that accepts long bodies."""
     limits = make_configuration(1)["limits"] | {"max-body-bytes": 16 << 20}
     world.configure(limits=limits)
-    caller = Caller(world.add_instance())
+    return Caller(world.add_instance())
+
+
+def test_rest_of_a_body_is_not_replaced_by_the_next_request(world, upstreams, answered):
+    caller = start_caller(world)
     generator = random.Random(SEED)
     sizes = [generator.choice(BODY_SIZES) for _ in range(REQUEST_COUNT)]
     responses = [caller.send(ONCE_PATH, "POST", make_body(size)) for size in sizes]
@@ -141,3 +151,25 @@
         assert upstream.foreign == []
         for attempt_id, body in upstream.bodies:
             assert body == make_body(sent_sizes[attempt_id])
+
+
+def make_malformed_response(attempt_id):
+    return make_response(200, attempt_id, "x-confidence: none")
+
+
+def make_unfinished_refusal(attempt_id):
+    return refuse_early(attempt_id).removesuffix(b"body")
+
+
+@pytest.mark.parametrize("respond", [make_malformed_response, make_unfinished_refusal])
+def test_rest_of_a_body_is_not_sent_once_its_attempt_is_given_up(world, respond):
+    upstream = EarlyUpstream(respond)
+    world.list_upstream("i-1", "app", upstream.address)
+    caller = start_caller(world)
+    sock = caller.open()
+    sock.sendall(caller.encode(ONCE_PATH, "POST", make_body(BODY_SIZES[-1])))
+    wait_until(lambda: upstream.responded)
+    sock.close()
+    wait_until(lambda: upstream.closed)
+    upstream.close()
+    assert upstream.bodies == []
