Don't take a late message of a watcher for a confirmation

An instance that follows the watchers of its zone counted its state as confirmed, and the store as available, when a watcher's message arrived that was older than that state. It then went on without asking the store for as long as a message holds, and changes after its state could come late.

Any message that needed nothing applied counted as of its arrival. One with an earlier index was sent before the state that is here, so it tells nothing about later changes. It is now passed over; the time for which the state holds runs on from the last confirmation. One with the same index still confirms: nothing in it tells its age.

--- a/src/merlinnotch/_entry/store_sync.py
+++ b/src/merlinnotch/_entry/store_sync.py
@@ -120,6 +120,9 @@
         forwarded = forwarder.wait(wait_s)
         if forwarded is None:
             return False
+        if forwarded.index < self._mirror.index:
+            # The message is late, so it does not show that later changes are here.
+            return True
         if not self._apply_forwarded(forwarded):
             forwarder.record_missed()
             return False
--- a/tests/entry/test_change_forwarder.py
+++ b/tests/entry/test_change_forwarder.py
@@ -4,7 +4,7 @@
 import pytest
 
 from merlinnotch._entry.datagrams import MessageKind
-from merlinnotch._store import get_revision
+from merlinnotch._store import build_index, get_era, get_revision
 from tests.platform_world import PORTS, make_configuration, wait_until
 
 NAMES = ("one", "two", "three", "four", "five")
@@ -151,3 +151,19 @@
     world.store.put("op/config", make_configuration(1))
     eventlet.sleep(0.5)
     assert get_version(one) == 2
+
+
+def test_late_message_does_not_confirm_a_newer_state(world):
+    # A long validity keeps a slow machine from falling back to watches.
+    zone = add_patient_zone(world)
+    one, forwarder = list_followers(zone)[0], list_followers(zone)[0].change_forwarder
+    wait_until(lambda: forwarder.get_remaining_validity_s(one.read_clock()) > 0)
+    forwarder._transport.handle(MessageKind.STORE_CHANGES, lambda body: None)
+    eventlet.sleep(0.1)
+    forwarder.record_missed()
+    watch_count = count_watches(one)
+    index = one.mirror.index
+    index = build_index(get_era(index), get_revision(index) - 1)
+    sender = list_watchers(zone)[0].settings.instance.peer_address
+    forwarder._handle_changes([sender, index, index, [[], []], None])
+    wait_until(lambda: count_watches(one) > watch_count)
