--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -224,3 +224,23 @@
     statuses = [caller.send(PLAIN_PATH, x_attempt_id=f"id-{n}").status for n in (1, 2)]
     assert statuses == [200, 200]
     assert len(seen) == 2
+
+
+def test_response_without_an_id_on_a_kept_connection_ends_at_the_deadline(
+    world, caller
+):
+    seen = []
+
+    def script(request, write):
+        seen.append(request)
+        if len(seen) > 1:
+            write(make_response(None))
+        else:
+            write(make_answer(request))
+        return True
+
+    world.add_upstream("i-1", script)
+    responses = send_each(caller, 2)
+    assert [response.status for response in responses.values()] == [200, 504]
+    assert b"unknown" in responses["id-1"].body
+    assert len(seen) == 2
