Late copies of a refusal are not believed for the next attempt

A call to a plain service without an idempotency key could be refused with the outcome "not run" though its second attempt ran.

An upstream may send a refusal again where the next response on the connection is expected. Once-only calls have connections of their own and weren't affected, nor were chats, which close the connection of a refusal. call_service() now does so as well: it looks at the head before it reads the body.

--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -42,8 +42,9 @@
     """Sends requests to upstreams over pooled connections.
 
     A response has to repeat the id of its request, or else the attempt fails. A
-    connection is reused only if the response was read to its end. *notices* is the
-    :class:`ResponseNotices` that records what responses say about their upstream.
+    connection is reused only if the response was read to its end, which a refusal
+    isn't. *notices* is the :class:`ResponseNotices` that records what responses say
+    about their upstream.
     """
 
     def __init__(self, source_ip, notices):
@@ -118,8 +119,10 @@
         )
         with _translate_errors(), releasing_connection(response):
             rest_s = self._record_notice(upstream, response, call, started)
-            data = b"".join(limit_parts(read_parts(response), started + wait_s))
+            # Before the body is read, so that the connection is closed if this fails.
+            # A late copy of a refusal would have the id of the request's next attempt.
             _check_response(response, call.request_id, rest_s)
+            data = b"".join(limit_parts(read_parts(response), started + wait_s))
             return response, data
 
     def _send(self, method, url, body, headers, wait_s, call, new_connection=False):
