Soak: answers to other requests, changed bodies and stray bytes are reported

The soak compared only complete answers with status 200 with what their request should have got. A failure or a refusal of another request, an answer that ends early under another id, bytes on a connection without an open request, a run of a request that no caller sent and one whose body has changed went unnoticed.

Each is a check of its own now. Requests with long bodies count as once-only beside the short ones; the existing checks are unchanged, and the one for refused requests that ran is tested with every status and kind, also for a run after the answer. write_history keeps the records in the order of time, so that a violation can be traced.

Evidence: tests/soak/test_history.py; without the checks the new cases fail.

--- a/soak/history.py
+++ b/soak/history.py
@@ -1,6 +1,7 @@
 """Recorded history of a soak, and the checks for violated guarantees."""
 
 import collections
+import operator
 from dataclasses import dataclass, field
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -10,6 +11,9 @@
 """Time within which instances apply a changed key or a drained upstream."""
 UNDISTURBED_S = 3.0
 """Time after a fault during which time bounds are not checked for the instance."""
+ONCE_KINDS = ("once", "long")
+"""Kinds of requests that may run at most once."""
+BODY = b"body"
 POISON = b"poison"
 COMMON_PART = "c0ffee01"
 DEADLY_PART = "dead0001"
@@ -37,7 +41,8 @@
 class Run:
     """Execution of a request by an upstream.
 
-    *failed* is set if the upstream returned an error or closed the connection.
+    *failed* is set if the upstream returned an error or closed the connection,
+    *is_intact* if the body was the one that the caller sent.
     """
 
     attempt_id: str
@@ -46,6 +51,7 @@
     has_credential: bool
     started_at: float
     failed: bool = False
+    is_intact: bool = True
 
 
 @dataclass(frozen=True)
@@ -70,7 +76,8 @@
     """Result of an attempt, as seen by the caller.
 
     *status* is 0 without a complete answer. *is_complete* is set if the answer
-    ended as its framing says; *body* is the part that was received.
+    ended as its framing says; *body* is the part that was received. *answered_id* is
+    the attempt that the answer names, None without one.
     """
 
     attempt_id: str
@@ -82,6 +89,20 @@
     body: bytes
     sent_at: float
     ended_at: float
+    answered_id: str | None = None
+
+
+@dataclass(frozen=True)
+class Repeat:
+    """Another copy of the answer to *attempt_id*, sent by *upstream*.
+
+    *form* says when it was sent, whether with the id and how often.
+    """
+
+    attempt_id: str
+    upstream: str
+    at: float
+    form: str
 
 
 @dataclass
@@ -95,7 +116,8 @@
     that a request with the deadly prompt part crashed. *interruptions* maps
     instances to the spans of their restarts and pauses, and upstreams to those in which
     their connections were cut. *limits* maps upstreams to lists of (time, requests per
-    second that they name from then on, None without a limit).
+    second that they name from then on, None without a limit). *surplus* holds
+    (instance, previous attempt, bytes) of what callers got without an open request.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
@@ -110,6 +132,8 @@
     part_crashes: list = field(default_factory=list)
     interruptions: dict = field(default_factory=lambda: collections.defaultdict(list))
     limits: dict = field(default_factory=lambda: collections.defaultdict(list))
+    repeats: list[Repeat] = field(default_factory=list)
+    surplus: list = field(default_factory=list)
 
     def record_fault(self, instance, start, end):
         """Record that a fault affected *instance* from *start* to *end*."""
@@ -146,6 +170,9 @@
             _check_runs,
             _check_refusals,
             _check_answers,
+            _check_answered_ids,
+            _check_surplus,
+            _check_requests,
             _check_teams,
             _check_keys,
             _check_draining,
@@ -164,7 +191,7 @@
     kinds = {o.attempt_id: o.kind for o in history.outcomes}
     counts = collections.Counter(run.attempt_id for run in history.runs)
     for attempt_id, count in counts.items():
-        if kinds.get(attempt_id) == "once" and count > 1:
+        if kinds.get(attempt_id) in ONCE_KINDS and count > 1:
             yield f"executed {count} times: {attempt_id}"
 
 
@@ -187,6 +214,31 @@
             yield f"unexpected answer: {outcome.attempt_id} {outcome.body[:60]!r}"
 
 
+def _check_answered_ids(history):
+    """Yield a message for each answer, complete or not, to another request."""
+    for outcome in history.outcomes:
+        if outcome.answered_id not in (None, outcome.attempt_id):
+            yield f"answer to {outcome.answered_id}: {outcome.attempt_id}"
+        is_failure = outcome.is_complete and outcome.body.startswith(FAILURE_PREFIX)
+        if is_failure and outcome.body != make_failure_body(outcome.attempt_id):
+            yield f"failure of another: {outcome.attempt_id} {outcome.body[:60]!r}"
+
+
+def _check_surplus(history):
+    for instance, attempt_id, data in history.surplus:
+        yield f"bytes after the answer: {attempt_id} {instance} {data[:60]!r}"
+
+
+def _check_requests(history):
+    """Yield a message for each run of what no caller sent."""
+    sent = {outcome.attempt_id for outcome in history.outcomes}
+    for run in history.runs:
+        if run.attempt_id not in sent:
+            yield f"not sent by a caller: {run.attempt_id} {run.upstream}"
+        elif not run.is_intact:
+            yield f"body changed: {run.attempt_id} {run.upstream}"
+
+
 def _check_teams(history):
     for run in history.runs:
         if run.team != "team-a" or run.has_credential:
@@ -404,6 +456,24 @@
     return f"done {attempt_id}".encode()
 
 
+FAILURE_PREFIX = b"failed "
+
+
+def make_failure_body(attempt_id):
+    """Return the body of the answer of a run that failed."""
+    return FAILURE_PREFIX + attempt_id.encode()
+
+
+def make_long_body(attempt_id):
+    """Return the body of a request that instances don't send in one piece."""
+    return f"{attempt_id:>30}".encode() * 3000
+
+
+def list_bodies(method, attempt_id):
+    """Return the bodies that callers send with *method*."""
+    return [b""] if method == "GET" else [BODY, make_long_body(attempt_id)]
+
+
 STREAM_EVENTS = 12
 
 
@@ -415,3 +485,13 @@
 def make_stream_body(attempt_id):
     """Return all events of the stream that answers *attempt_id*."""
     return b"".join(make_event(attempt_id, n + 1) for n in range(STREAM_EVENTS))
+
+
+def write_history(history, path):
+    """Write the records of requests to *path*, one per line, in the order of time."""
+    events = [(arrival.at, arrival) for arrival in history.arrivals]
+    events += [(run.started_at, run) for run in history.runs]
+    events += [(repeat.at, repeat) for repeat in history.repeats]
+    events += [(outcome.ended_at, outcome) for outcome in history.outcomes]
+    events.sort(key=operator.itemgetter(0))
+    path.write_text("".join(f"{at:.4f} {record}\n" for at, record in events))
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -17,6 +17,7 @@
     Run,
     find_violations,
     make_body,
+    make_failure_body,
     make_stream_body,
 )
 
@@ -41,9 +42,17 @@
 def test_consistent_history_has_no_violations(history):
     record_outcome(history, RUN)
     record_outcome(history, kind="stream", body=make_stream_body("a-1"))
+    record_outcome(history, status=500, body=make_failure_body("a-1"))
+    record_outcome(history, answered_id="a-1")
     assert find_violations(history) == []
 
 
+def test_bytes_that_no_request_asked_for_are_reported(history):
+    record_outcome(history, RUN)
+    history.surplus.append(("one", "a-1", b"HTTP/1.1 200 X"))
+    assert "bytes after the answer" in find_violations(history)[0]
+
+
 @pytest.mark.parametrize(
     ("changes", "runs", "message"),
     [
@@ -52,7 +61,34 @@
             [RUN, RUN],
             "executed 2 times",
         ),
-        ({"status": 503}, [RUN], "executed despite the status"),
+        (
+            {"kind": "long", "status": 0, "is_complete": False},
+            [RUN, RUN],
+            "executed 2 times",
+        ),
+        *[
+            ({"kind": kind, "status": status}, [RUN], "executed despite the status")
+            for kind in ("plain", "once", "long", "stream")
+            for status in (408, 421, 429, 503)
+        ],
+        (
+            {"status": 503},
+            [dataclasses.replace(RUN, started_at=OUTCOME.ended_at + 3.0)],
+            "executed despite the status",
+        ),
+        ({"answered_id": "a-2"}, [RUN], "answer to a-2"),
+        (
+            {"answered_id": "a-2", "status": 0, "is_complete": False},
+            [RUN],
+            "answer to a-2",
+        ),
+        (
+            {"status": 500, "body": make_failure_body("a-2")},
+            [RUN],
+            "failure of another",
+        ),
+        ({}, [dataclasses.replace(RUN, is_intact=False)], "body changed"),
+        ({}, [RUN, dataclasses.replace(RUN, attempt_id="a-2")], "not sent by a caller"),
         ({"body": make_body("a-2")}, [RUN], "unexpected answer"),
         (
             {"kind": "stream", "body": make_stream_body("a-1")[:-20]},
