Soak: upstreams repeat answers while they refuse most requests

Callers got 503 for once-only requests that had run, and others ran twice, after an upstream had repeated a refusal. The soak missed it: its upstreams refused at random, but never repeated an answer, and its load was too low to share few kept connections among many requests.

Two kinds of faults, planned apart so that the plans of existing seeds stay as they are.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,10 +1,12 @@
 """``python -m soak --seed 7 --seconds 60``: run one soak, or several in sequence."""
 
 import argparse
+import pathlib
 import sys
 
 import eventlet
 
+from .history import write_history
 from .world import SoakWorld
 
 
@@ -29,9 +31,12 @@
         print(
             f"seed {seed}: {len(history.outcomes)} attempts, {len(history.runs)} runs,",
             f"{sum(o.status == 200 for o in history.outcomes)} answered,",
+            f"{len(history.repeats)} repeated,",
             f"{len(violations)} violations, logs in {world.folder}",
             flush=True,
         )
+        if violations:
+            write_history(history, pathlib.Path(world.folder) / "history.log")
         for line in violations[:20]:
             print("  ", line, flush=True)
         failed_seeds += bool(violations)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,9 +38,12 @@
 """Planned apart for the same reason."""
 RESTORE_KINDS = ("restore_store",)
 """Planned apart for the same reason."""
+REPEAT_KINDS = ("repeat", "crowd")
+"""Planned apart for the same reason."""
 MEAN_NOTICE_INTERVAL_S = 2.0
 MEAN_LIMIT_INTERVAL_S = 4.0
 MEAN_RESTORE_INTERVAL_S = 6.0
+MEAN_REPEAT_INTERVAL_S = 1.0
 RESTORE_OUTAGE_S = 0.5
 LIMITS_PER_S = (0.5, 1.1, 2.7, 8.0)
 LIMIT_CHANGES = (0.25, 2.0)
@@ -56,8 +59,8 @@
 class Fault:
     """One planned fault; *at_s* is its start in seconds from the start of the soak.
 
-    *kind* is one of KINDS, NOTICE_KINDS, LIMIT_KINDS or RESTORE_KINDS. *target* selects
-    the instance, proxy or upstream, modulo their number.
+    *kind* is one of KINDS, NOTICE_KINDS, LIMIT_KINDS, RESTORE_KINDS or REPEAT_KINDS.
+    *target* selects the instance, proxy or upstream, modulo their number.
     """
 
     at_s: float
@@ -81,7 +84,12 @@
 
 
 def plan_all_faults(
-    generator, notice_generator, limit_generator, restore_generator, soak_duration_s
+    generator,
+    notice_generator,
+    limit_generator,
+    restore_generator,
+    repeat_generator,
+    soak_duration_s,
 ):
     """Return the faults of all plans in the order of their start."""
     faults = plan_faults(generator, soak_duration_s)
@@ -94,6 +102,9 @@
     faults += plan_faults(
         restore_generator, soak_duration_s, RESTORE_KINDS, MEAN_RESTORE_INTERVAL_S
     )
+    faults += plan_faults(
+        repeat_generator, soak_duration_s, REPEAT_KINDS, MEAN_REPEAT_INTERVAL_S
+    )
     return sorted(faults, key=operator.attrgetter("at_s"))
 
 
@@ -241,6 +252,19 @@
             eventlet.sleep(LIMIT_DURATION_FACTOR * fault.duration_s / 2.0)
         upstream.set_limit(None)
 
+    def _repeat(self, fault):
+        """Let every other upstream repeat some of its answers for a while."""
+        until = read_clock() + fault.duration_s
+        for upstream in self._world.upstreams[fault.target % 2 :: 2]:
+            upstream.repeats_until = max(upstream.repeats_until, until)
+
+    def _crowd(self, fault):
+        """Let requests that may run once meet upstreams with few free slots."""
+        until = read_clock() + fault.duration_s
+        for upstream in self._world.upstreams:
+            upstream.crowded_until = max(upstream.crowded_until, until)
+        self._world.run_once_callers(until)
+
     def _configure(self, fault):
         self._world.rotate_keys()
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,7 @@
 from standins.platform_store import StandInStore
 from tests.platform_world import make_configuration
 
-from .callers import DeadlyPartCaller, PoisonCaller, SoakCaller
+from .callers import DeadlyPartCaller, OnceCaller, PoisonCaller, SoakCaller
 from .faults import FaultInjector, plan_all_faults
 from .history import History, find_violations
 from .instances import Instance
@@ -26,6 +26,7 @@
 """Wait after the last fault: the longest caller deadline plus the shutdown grace."""
 UPSTREAMS = (("app", 3), ("engines", 3))
 CALLERS_PER_INSTANCE = 3
+ONCE_CALLERS_PER_INSTANCE = 6
 REPLACEMENT_DELAY_S = 1.5
 """Time from the crash of an upstream to the start of its replacement."""
 
@@ -43,6 +44,7 @@
         self._notice_generator = random.Random(f"notices {seed}")
         self._limit_generator = random.Random(f"limits {seed}")
         self._restore_generator = random.Random(f"restores {seed}")
+        self._repeat_generator = random.Random(f"repeats {seed}")
         self._poison_generator = random.Random(f"poison {seed}")
         self.history = History()
         self.store = StandInStore()
@@ -50,6 +52,7 @@
         self.proxies = []
         self.folder = folder or tempfile.mkdtemp(prefix="soak-")
         self._upstream_count = 0
+        self._once_caller_count = 0
         self._config_version = 0
         self._configuration = None
         self._entries = {}
@@ -87,6 +90,7 @@
             self._notice_generator,
             self._limit_generator,
             self._restore_generator,
+            self._repeat_generator,
             duration_s,
         ):
             eventlet.sleep(max(0.0, started_at + fault.at_s - read_clock()))
@@ -125,6 +129,21 @@
             entry["seq"] += 1
             self.store.put(key, entry)
 
+    def run_once_callers(self, deadline):
+        """Let further callers send requests that may run once until *deadline*."""
+        threads = []
+        for _ in range(ONCE_CALLERS_PER_INSTANCE * len(self.instances)):
+            self._once_caller_count += 1
+            caller = OnceCaller(
+                f"o{self._once_caller_count}",
+                self.instances,
+                self.history,
+                random.Random(self._repeat_generator.random()),
+            )
+            threads.append(eventlet.spawn(caller.run, deadline))
+        for thread in threads:
+            thread.wait()
+
     def replace_upstream(self, upstream):
         """Add a replacement for an upstream, then drain and remove it."""
         if upstream not in self.upstreams:
@@ -158,6 +177,7 @@
             f"i-{self._upstream_count}",
             self.history,
             self.generator,
+            self._repeat_generator,
             service == "engines",
             self._handle_crash,
         )
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -39,10 +39,14 @@
         for sock in list(self._open_sockets):
             shut_down(sock)
 
+    def make_connection(self, sock):
+        """Return the connection that serves *sock*."""
+        return CallerConnection(sock, read_clock, 5.0)
+
     def _serve(self, sock):
         self.connection_count += 1
         self._open_sockets.add(sock)
-        connection = CallerConnection(sock, read_clock, 5.0)
+        connection = self.make_connection(sock)
         try:
             while True:
                 request = connection.read_request(RequestLimits(), IDLE_TIMEOUT_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
     KINDS,
     LIMIT_KINDS,
     NOTICE_KINDS,
+    REPEAT_KINDS,
     RESTORE_KINDS,
     plan_all_faults,
     plan_faults,
@@ -35,12 +36,12 @@
 
 
 def test_faults_planned_apart_leave_the_other_faults_of_a_seed_unchanged():
-    seeds = (1, "notices 1", "limits 1", "restores 1")
+    seeds = (1, "notices 1", "limits 1", "restores 1", "repeats 1")
     generators = [random.Random(seed) for seed in seeds]
     plan = plan_all_faults(*generators, 300.0)
     others = [fault for fault in plan if fault.kind in KINDS]
     assert others == plan_faults(random.Random(1), 300.0)
-    apart = {*NOTICE_KINDS, *LIMIT_KINDS, *RESTORE_KINDS}
+    apart = {*NOTICE_KINDS, *LIMIT_KINDS, *RESTORE_KINDS, *REPEAT_KINDS}
     assert {fault.kind for fault in plan} == {*KINDS, *apart}
     assert plan == sorted(plan, key=lambda fault: fault.at_s)
 
