Soak: a relayed request counts for the instance that sent it

Its trace: the caller asked one-4, which had been told that i-2 leaves and didn't send to it. After two repeated answers one-4 relayed the request to one-0, which was cut from the store, had got no answer of i-2 that said so, and sent it there. An instance is bound by what it has been told itself, so the check blamed the wrong one.

Requests are now attributed by the instances' logs of what they sent: to the other instance if it alone logged that upstream for that request, else, as before, to the one that the caller asked. The relaying instance is held to its own notices, rests and limits now, which no check did.

--- a/soak/history.py
+++ b/soak/history.py
@@ -118,6 +118,8 @@
     their connections were cut. *limits* maps upstreams to lists of (time, requests per
     second that they name from then on, None without a limit). *surplus* holds
     (instance, previous attempt, bytes) of what callers got without an open request.
+    *senders* maps (attempt id, upstream) to the instances that logged that they sent
+    it, as another instance may have relayed it.
     """
 
     arrivals: list[Arrival] = field(default_factory=list)
@@ -134,6 +136,7 @@
     limits: dict = field(default_factory=lambda: collections.defaultdict(list))
     repeats: list[Repeat] = field(default_factory=list)
     surplus: list = field(default_factory=list)
+    senders: dict = field(default_factory=lambda: collections.defaultdict(set))
 
     def record_fault(self, instance, start, end):
         """Record that a fault affected *instance* from *start* to *end*."""
@@ -441,13 +444,20 @@
 
 
 def _group_by_link(history):
-    """Return lists of the arrivals by (instance, upstream)."""
+    """Return lists of the arrivals by (instance, upstream).
+
+    The instance is the one that the caller asked, unless only another one sent it.
+    """
     instances = {o.attempt_id: o.instance for o in history.outcomes}
     arrivals_by_link = collections.defaultdict(list)
     for arrival in history.arrivals:
-        if arrival.attempt_id in instances:
-            link = (instances[arrival.attempt_id], arrival.upstream)
-            arrivals_by_link[link].append(arrival)
+        instance = instances.get(arrival.attempt_id)
+        if instance is None:
+            continue
+        senders = history.senders.get((arrival.attempt_id, arrival.upstream), ())
+        if len(senders) == 1:
+            (instance,) = senders
+        arrivals_by_link[instance, arrival.upstream].append(arrival)
     return arrivals_by_link
 
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,5 +1,7 @@
 """Instances of merlinnotch as child processes."""
 
+import contextlib
+import json
 import os
 import pathlib
 import signal
@@ -110,6 +112,16 @@
                 else:
                     return
 
+    def list_sends(self):
+        """Yield (attempt id, upstream) of the requests that its log says it sent."""
+        with (self._folder / f"{self.name}.log").open(errors="replace") as log:
+            for line in log:
+                if '"request": ' not in line or not line.startswith("{"):
+                    continue
+                with contextlib.suppress(json.JSONDecodeError):
+                    record = json.loads(line)
+                    yield record.get("request"), record.get("upstream")
+
     def send(self, signal_number):
         """Send a signal to the process if it is running."""
         if self.process.poll() is None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -99,6 +99,9 @@
             thread.wait()
         eventlet.sleep(SETTLE_S)
         watcher.kill()
+        for instance in self.instances:
+            for send in instance.list_sends():
+                self.history.senders[send].add(instance.name)
         return find_violations(self.history)
 
     def close(self):
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -192,6 +192,18 @@
     assert find_violations(history) == ["sent to i-1 after its notice: a-2"]
 
 
+def test_relayed_request_counts_for_the_instance_that_sent_it(history):
+    passed_on_at = record_leaving(history)
+    record_arrival(history, "a-2", passed_on_at + 9.0)
+    history.senders["a-2", "i-1"] = {"one", "two"}
+    assert find_violations(history) == ["sent to i-1 after its notice: a-2"]
+    history.senders["a-2", "i-1"] = {"two"}
+    assert find_violations(history) == []
+    record_arrival(history, "a-3", passed_on_at + 9.0, instance="three")
+    history.senders["a-3", "i-1"] = {"one"}
+    assert find_violations(history) == ["sent to i-1 after its notice: a-3"]
+
+
 def test_leaving_notice_that_another_upstream_replaced_is_not_passed_on(history):
     passed_on_at = record_leaving(history)
     history.arrivals.append(Arrival("a-1", "i-2", 10.15))
