A refusal that names several requests is not believed

Callers saw a once-only request run twice, or answered 503 though it had run.

Cause: of several attempt ids in a response the first one decided whose it is. A late refusal that names two requests was taken for the answer to the one named first.

Change: contradicting ids count as none, so such a response is skipped on a connection that has served others, as one without an id is.

Evidence: test_refusal_with_contradicting_ids_does_not_make_a_request_run_twice fails on the commit before with the own id first (it passes there with the other id first). tests/gateway/test_correlation.py, tests/gateway/test_relay.py and tests/platform: 531 passed.

--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -235,8 +235,12 @@
 
 
 def get_attempt_id(fields):
-    """Return the id of the request that *fields* belong to, None if they have none."""
-    return fields.get(_ATTEMPT_ID)
+    """Return the id of the request that *fields* belong to.
+
+    It is None if they have none, or several that contradict each other.
+    """
+    ids = {value for name, value in fields.pairs if name == _ATTEMPT_ID}
+    return ids.pop() if len(ids) == 1 else None
 
 
 def decode_response(fields):
@@ -247,7 +251,7 @@
     load = _decode_load(fields.get(_SERVER_LOAD))
     confidence = _parse_number(fields, _CONFIDENCE)
     return ResponseHeaders(
-        attempt_id=fields.get(_ATTEMPT_ID),
+        attempt_id=get_attempt_id(fields),
         sealed=fields.get(_SERVER_SEAL) is not None,
         encoded=fields.get("content-encoding") is not None,
         confidence=confidence,
--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -19,8 +19,8 @@
 class RepeatingScript:
     """Script that runs each request and sends *response* before its answer.
 
-    It does so on connections that have had an answer, *count* times. *runs* counts the
-    runs by attempt id.
+    It does so on connections that have had an answer, *count* times. *response* may be
+    a function of the attempt id. *runs* counts the runs by attempt id.
     """
 
     def __init__(self, response, count=1):
@@ -30,10 +30,14 @@
         self._used_connections = weakref.WeakSet()
 
     def __call__(self, request, write):
-        self.runs[request.fields.get("x-attempt-id")] += 1
+        attempt_id = request.fields.get("x-attempt-id")
+        self.runs[attempt_id] += 1
         connection = write.__self__
         if connection in self._used_connections:
-            write(self._response * self._count)
+            response = self._response
+            if callable(response):
+                response = response(attempt_id)
+            write(response * self._count)
         self._used_connections.add(connection)
         write(make_answer(request))
         return True
@@ -141,6 +145,20 @@
     check_promises(scripts, send_each(caller, 8))
 
 
+@pytest.mark.parametrize("is_own_first", [True, False])
+def test_refusal_with_contradicting_ids_does_not_make_a_request_run_twice(
+    world, caller, is_own_first
+):
+    def make_refusal(attempt_id):
+        other = ("x-attempt-id", "another")
+        own = ("x-attempt-id", attempt_id)
+        ids = [own, other] if is_own_first else [other, own]
+        return make_response(None, 503, [NOT_RUN, *ids])
+
+    scripts = add_pair(world, make_refusal)
+    check_promises(scripts, send_each(caller, 8))
+
+
 def test_refusal_without_an_id_on_a_new_connection_is_retried(world, caller):
     def refuse(request, write):
         write(make_response(None, 503, [NOT_RUN]))
