Replies that can't answer a call about a lease are not believed

An instance could hold its lease on after its end, or announce itself under none.

Cause: any reply of status 200 that wasn't empty counted as a renewal, in particular "true" of a write or the renewal of another lease; what came for a new lease was taken apart unchecked, which raised TypeError; "false" for a put without a condition counted as written.

Change: a renewal has to name its lease, and a new lease has to have an id; else the store counts as unavailable and the idle connections are closed, as for listings and writes. So does "false" for a put without a condition.

--- a/src/merlinnotch/_store/http.py
+++ b/src/merlinnotch/_store/http.py
@@ -64,7 +64,8 @@
 
     def put(self, key, value):
         self._on_call("write")
-        self._write("PUT", f"/v1/kv/{urllib.parse.quote(key)}", value)
+        if not self._write("PUT", f"/v1/kv/{urllib.parse.quote(key)}", value):
+            raise self._reject("unconditional write was refused")
 
     def delete(self, key, modify_index):
         self._on_call("write")
@@ -76,12 +77,17 @@
         self._on_call("write")
         body = {"Name": name, "TTL": f"{int(ttl_s)}s", "LockDelay": "0s"}
         reply = self._call("PUT", "/v1/session/create", json.dumps(body).encode())
+        if not isinstance(reply, dict) or "ID" not in reply:
+            raise self._reject("reply to a new lease names none")
         return reply["ID"]
 
     def renew_lease(self, lease):
         self._on_call("write")
-        if not self._call("PUT", f"/v1/session/renew/{lease}"):
+        rows = self._call("PUT", f"/v1/session/renew/{lease}")
+        if not rows:
             raise StoreConflict(lease)
+        if not _names_lease(rows, lease):
+            raise self._reject("reply to a renewal names another lease")
 
     def close_lease(self, lease):
         self._on_call("write")
@@ -164,6 +170,13 @@
     return all(key == prefix for key in keys)
 
 
+def _names_lease(rows, lease):
+    """Return whether *rows* are those of the renewed *lease*."""
+    if not isinstance(rows, list):
+        return False
+    return all(isinstance(row, dict) and row.get("ID") == lease for row in rows)
+
+
 def _parse_item(row):
     value = base64.b64decode(row["Value"] or "")
     return Item(row["Key"], value, row["ModifyIndex"], row.get("Session"))
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -176,3 +176,33 @@
 def test_refused_swap_is_a_conflict(scripted_store):
     with pytest.raises(StoreConflict):
         scripted_store(200, INDEX, False).swap("k", b"v", 1)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(True, id="written"),
+        pytest.param(KEY_ROWS, id="rows"),
+        pytest.param([{"ID": "lease-2"}], id="another lease"),
+        pytest.param({"ID": "lease-1"}, id="new lease"),
+    ],
+)
+def test_response_to_another_call_renews_no_lease(scripted_store, value):
+    """Guards against a lease that is held on after its end."""
+    with pytest.raises(StoreUnavailable):
+        scripted_store(200, INDEX, value).renew_lease("lease-1")
+
+
+@pytest.mark.parametrize("value", [True, False, KEY_ROWS, LEASE_REPLY, None])
+def test_response_to_another_call_opens_no_lease(scripted_store, value):
+    with pytest.raises(StoreUnavailable):
+        scripted_store(200, INDEX, value).open_lease(5.0, "one")
+
+
+def test_refused_swap_of_another_call_confirms_no_put(scripted_store):
+    with pytest.raises(StoreUnavailable):
+        scripted_store(200, INDEX, False).put("k", b"v")
+
+
+def test_renewed_lease_is_kept(scripted_store):
+    scripted_store(200, INDEX, LEASE_REPLY).renew_lease("lease-1")
