Relay: a status that means "not run" is not delivered without a refusal

Callers of once-only requests that were relayed could get 408, 421, 429 or 503 for a request that had run.

Cause: a peer of a release before the promise was checked forwards such a status of its upstream; the origin passed it on.

--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -586,6 +586,16 @@
     assert Caller(process).send(ONCE_PATH, "POST", b"x").status == 502
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_status_of_a_peer_that_means_not_run_is_not_delivered_without_a_refusal(
+    start_with_peer, status
+):
+    process, _ = start_with_peer(make_answer_script(b"why", status))
+    answer = Caller(process).send(ONCE_PATH, "POST", b"x")
+    assert answer.status == 502
+    assert b"why" not in answer.body
+
+
 @pytest.mark.parametrize("names_request", [True, False])
 def test_refusal_on_a_new_link_to_a_peer_still_means_not_run(
     start_with_peer, names_request
