--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -75,8 +75,8 @@
     instances. *reader* is a :class:`ResponseReader`, *notice_recorder* a
     :class:`NoticeRecorder`, *permits* a :class:`Permits`, *slots* a
     :class:`SlotExchange`, *work_times* a :class:`WorkTimes`, *load_policy* a
-    :class:`LoadPolicy`, *totals* a :class:`FleetTotals`,
-    *matcher* a :class:`ResponseMatcher`.
+    :class:`LoadPolicy`, *totals* a :class:`FleetTotals`, *matcher* a
+    :class:`ResponseMatcher`.
     """
 
     def __init__(
@@ -145,6 +145,7 @@
             head = self._exchange(call, upstream, connection, until, urgency)
             attempt = self._process_head(call, choice, connection, head, started_at)
         except NotRun:
+            # The connection may be in the pool again.
             raise
         except BaseException:
             connection.close()
--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -13,7 +13,8 @@
 logger = logging.getLogger("merlinnotch")
 
 MAX_SKIPPED_RESPONSES = 3
-"""Responses to other requests that may precede the awaited one."""
+"""Responses to other requests that may precede the awaited one; a faulty upstream
+repeats one or two."""
 
 
 class Mismatch(enum.StrEnum):
