One check of statuses that falsely mean "not run"; one way to read a response's id

Forwarder and relay asked the same question of a response in their own words; is_false_promise answers it for both. The notice of a response read its id another way than its head did; both use get_attempt_id.

--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -197,7 +197,7 @@
                 )
         if was_not_executed(head.status, head.fields):
             if response_info.attempt_id is None:
-                # On a kept connection, the next one could not be told from a late one.
+                # On a kept connection, the next refusal might be a copy of this one.
                 connection.close()
             else:
                 self._drain_and_release(upstream, connection, now)
--- a/src/merlinnotch/_gateway/forwarder.py
+++ b/src/merlinnotch/_gateway/forwarder.py
@@ -24,7 +24,7 @@
 from .choice import UpstreamsUnreachable
 from .larger_model import EscalationPolicy
 from .read_limits import ReadLimitReached
-from .refusals import NOT_RUN_STATUSES
+from .refusals import is_false_promise
 from .results import ResultRecorder
 from .retry_reservation import RetryDenial
 from .stream import StreamRelay
@@ -312,7 +312,7 @@
         again.
         """
         status = attempt.head.status
-        if call.is_retryable or status not in NOT_RUN_STATUSES:
+        if not is_false_promise(call, status):
             return
         self._record_failed_send(call, attempt.upstream, "failed", f"status {status}")
         raise self._build_failure_error(call, self._read_clock())
--- a/src/merlinnotch/_gateway/refusals.py
+++ b/src/merlinnotch/_gateway/refusals.py
@@ -50,6 +50,15 @@
     return status, pairs, body
 
 
+def is_false_promise(call, status):
+    """Return whether *status* means "not run" for a *call* that may have run.
+
+    It is the status of a response that isn't a refusal. A call that may be repeated
+    loses nothing if its caller sends it again.
+    """
+    return not call.is_retryable and status in NOT_RUN_STATUSES
+
+
 def _compute_retry_after_s(error, remaining_s, generator):
     """Return the delay to tell the caller, or None."""
     kind = error.kind
--- a/src/merlinnotch/_gateway/relay.py
+++ b/src/merlinnotch/_gateway/relay.py
@@ -21,7 +21,7 @@
 )
 from ..platform import get_attempt_id
 from .attempt import MAX_BUFFERED_BYTES, Attempt
-from .refusals import NOT_RUN_STATUSES
+from .refusals import is_false_promise
 from .stream import StreamRelay
 
 logger = logging.getLogger("merlinnotch")
@@ -132,7 +132,7 @@
         if refusal is not None:
             reader.read_body(call, peer, link)
             raise _PeerRefused(refusal)
-        if not call.is_retryable and head.status in NOT_RUN_STATUSES:
+        if is_false_promise(call, head.status):
             # Callers would take it for a refusal. Peers of earlier releases forward it.
             raise ConnectionBroken(f"status {head.status} without a refusal")
         if call.route.retry_policy.is_streaming and head.status == OK:
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -271,7 +271,7 @@
     limit = _decode_limit(fields.get(_LIMIT))
     problems = [d.problem for d in (leaving, rest, limit) if d.problem]
     return UpstreamNotice(
-        attempt_id=fields.get(_ATTEMPT_ID),
+        attempt_id=get_attempt_id(fields),
         leaving_s=leaving.seconds,
         rest_s=rest.seconds,
         limit_per_s=limit.per_s,
