--- a/tests/gateway/test_skipped_responses.py
+++ b/tests/gateway/test_skipped_responses.py
@@ -4,7 +4,7 @@
 import pytest
 
 from standins.platform_upstream import make_answer
-from tests.gateway.test_correlation import (
+from tests.gateway.repeated_responses import (
     NOT_RUN,
     RepeatingScript,
     add_pair,
