Notices of the other front door: header fields are decoded before they are read

The other front door passed urllib3's headers to decode_notice, the benchmark of resting zones a dict; since it reads the pairs of Fields, which neither has. Callers of that front door would have got no response at all.

--- a/benchmarks/resting_zones.py
+++ b/benchmarks/resting_zones.py
@@ -20,6 +20,7 @@
 from merlinnotch._errors import RequestRefused
 from merlinnotch._fleet.mirror import KeyChange
 from merlinnotch._gateway.refusals import build_refusal
+from merlinnotch._http import Fields
 from merlinnotch._store import Item
 
 from .resting_fleet import (
@@ -204,7 +205,8 @@
         )
         report = LoadReport(state.running, state.waiting)
         if not is_run:
-            fields = {"retry-after": f"{rest_s:.2f}"} if rest_s > 0.0 else {}
+            pairs = [("retry-after", f"{rest_s:.2f}")] if rest_s > 0.0 else []
+            fields = Fields(pairs)
             args = (instance, call, upstream, fields, report)
             self._schedule(now + ROUND_TRIP_S / 2.0, self._handle_refusal, *args)
             return
--- a/src/merlinnotch/_upstreams/notices.py
+++ b/src/merlinnotch/_upstreams/notices.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+from .._http import Fields
 from .._links.gossiper import LEAVING
 from .._notices import NoticeRecorder, NoticeSource, log_leaving
 from .._peers import Leaving
@@ -30,7 +31,9 @@
 
     def record(self, upstream, response, now):
         """Record and return the notice of a *response* that was received at *now*."""
-        notice = decode_notice(response.status, response.headers)
+        headers = response.headers.items()
+        fields = Fields((name.lower(), value) for name, value in headers)
+        notice = decode_notice(response.status, fields)
         self._recorder.record(upstream.start, upstream.listed.id, notice, now)
         if math.isinf(notice.leaving_s):
             self._publish_leaving(upstream)
