Soak: refusals name the limit that other answers name

Cause, by its logs: the crowd's upstreams refused without Server-Limit, went on elsewhere and were answered 200 with it; the check counts that as told. An upstream in need names its limit in its answers, so its refusals carry the same notices now.

Two new cases failed before (tests/soak/test_repeats.py) and pass.

--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -131,7 +131,7 @@
             return None
         attempt_id = ID_LINE.search(head)[1].decode()
         self._history.arrivals.append(Arrival(attempt_id, self.id, read_clock()))
-        return encode_refusal(attempt_id, *FULL)
+        return encode_refusal(attempt_id, *FULL, self._list_notices())
 
     def _answer(self, request, write):
         now = read_clock()
@@ -147,7 +147,7 @@
             now + int(request.fields.get("x-deadline-ms", 0)) / 1000.0
         )
         if refusal is not None:
-            write(encode_refusal(attempt_id, *refusal))
+            write(encode_refusal(attempt_id, *refusal, self._list_notices()))
             return True
         self._running += 1
         try:
@@ -266,9 +266,10 @@
         return pairs
 
 
-def encode_refusal(attempt_id, status, has_id):
+def encode_refusal(attempt_id, status, has_id, extra):
     """Return the bytes of a refusal, which names the request if *has_id* is set."""
     lines = [f"HTTP/1.1 {status} X", "content-length: 0", "x-not-executed: 1"]
+    lines += [f"{name}: {value}" for name, value in extra]
     if has_id:
         lines.append(f"x-attempt-id: {attempt_id}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- a/tests/soak/test_repeats.py
+++ b/tests/soak/test_repeats.py
@@ -94,3 +94,16 @@
     assert len(refused) == 1
     assert refused[0] not in {run.attempt_id for run in upstream._history.runs}
     assert len(upstream._history.runs) == count - 1
+
+
+@pytest.mark.parametrize("length", [0, 90_000], ids=["full", "early"])
+def test_refusal_names_the_limit_like_other_answers(upstream, monkeypatch, length):
+    monkeypatch.setattr(upstream, "_choose_refusal", lambda: (503, True))
+    upstream.set_limit(1.1)
+    sock = connect(upstream)
+    sock.sendall(encode("a-1", length))
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += sock.recv(65536)
+    assert data.startswith(b"HTTP/1.1 503")
+    assert b"server-limit: 1.10" in data
