Requests that arrived before idle connections are closed are answered

Cause: a connection counted as idle until its green thread had read the first byte, and after the shutdown of the socket the kernel still returned what had arrived; the request was then read and passed on.

A connection is idle only if nothing waits unread in its socket, and after a shutdown nothing is read as a request: what arrives later ends with the connection, never passed on. is_busy looks at the same, so that the process doesn't end over such a request.

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -10,7 +10,14 @@
 from .._limits import MemoryBudget
 from .fields import Fields
 from .head import END_OF_HEAD, check_framing, check_raw_head
-from .sockets import Receiver, close_quietly, reset_on_close, send, shut_down
+from .sockets import (
+    Receiver,
+    close_quietly,
+    is_open_without_input,
+    reset_on_close,
+    send,
+    shut_down,
+)
 
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
@@ -49,8 +56,7 @@
     *read_clock* returns the time in seconds; *write_timeout_s* limits each write.
     *record_bytes* is called with the size of each block that is read or written.
     *memory* is the :class:`MemoryBudget` for bodies of requests.
-    *is_idle* is set while nothing of the next request has arrived, *is_kept* once a
-    request has been answered and another one may follow.
+    *is_kept* is set once a request has been answered and another one may follow.
     """
 
     def __init__(
@@ -73,8 +79,14 @@
         self._is_broken = False
         self.keep_alive = True
         self.response_started = False
-        self.is_idle = True
         self.is_kept = False
+        self._awaits_input = True
+        self._is_shut_down = False
+
+    @property
+    def is_idle(self):
+        """Whether nothing of the next request has arrived, read or not."""
+        return self._awaits_input and is_open_without_input(self._sock)
 
     def wait_for_request(self, idle_timeout_s):
         """Wait for the first byte of the next request.
@@ -83,11 +95,12 @@
         :class:`ConnectionBroken` if the connection fails, and its subclass
         :class:`ConnectionTimedOut` after *idle_timeout_s*.
         """
-        self.is_idle = not self._buffer
+        self._awaits_input = not self._buffer
         if not self._buffer:
             self._buffer = self._receive(idle_timeout_s)
-        self.is_idle = False
-        return bool(self._buffer)
+        self._awaits_input = False
+        # Reads still return what arrives after a shutdown, but it can't be answered.
+        return bool(self._buffer) and not self._is_shut_down
 
     def read_request(self, limits, idle_timeout_s):
         """Return the next request, or None at the end of the connection.
@@ -189,7 +202,11 @@
             self.write(reason + b"content-length: 0\r\nconnection: close\r\n\r\n")
 
     def shut_down(self):
-        """Shut the connection down; a waiting :meth:`read_request` returns None."""
+        """Shut the connection down; a waiting :meth:`read_request` returns None.
+
+        Input that has arrived, or arrives later, is dropped.
+        """
+        self._is_shut_down = True
         shut_down(self._sock)
 
     def close(self):
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -1,4 +1,4 @@
-"""Waiting for the next request while the idle timeout changes."""
+"""Idle connections: waits while the idle timeout changes, and closing at the stop."""
 
 import dataclasses
 
@@ -7,6 +7,8 @@
 from merlinnotch._errors import ConnectionTimedOut
 from merlinnotch._fleet import CallerLimits
 from merlinnotch._gateway.idle_connections import wait_for_request
+from standins.platform_upstream import make_answer_script
+from tests.platform_world import PLAIN_PATH, Answer, Caller, wait_until
 
 SHORT_S = 2.0
 LONG_S = 10.0
@@ -56,3 +58,22 @@
     with pytest.raises(ConnectionTimedOut):
         scene.wait()
     assert scene.now == LONG_S
+
+
+@pytest.mark.parametrize("is_used", [False, True], ids=["new", "used"])
+def test_request_that_arrived_before_idle_connections_are_closed_is_answered(
+    world, is_used
+):
+    world.add_upstream("i-1", make_answer_script())
+    instance = world.add_instance()
+    caller = Caller(instance)
+    request = caller.encode(PLAIN_PATH, "POST", b"", connection=None)
+    with caller.open() as sock:
+        if is_used:
+            sock.sendall(request)
+            assert Answer(sock.recv(65536)).status == 200
+        wait_until(lambda: instance.gateway._waiting_connections)
+        sock.sendall(request)
+        instance.gateway.close_idle()
+        assert instance.gateway.is_busy
+        assert Answer(sock.recv(65536)).status == 200
--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -120,6 +120,20 @@
         assert reader.wait() is None
 
 
+def test_connection_with_unread_input_is_not_idle(connection_and_peer):
+    connection, peer = connection_and_peer
+    assert connection.is_idle
+    peer.sendall(b"G")
+    assert not connection.is_idle
+
+
+def test_input_is_not_read_as_a_request_after_a_shut_down(connection_and_peer):
+    connection, peer = connection_and_peer
+    peer.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    connection.shut_down()
+    assert read_next(connection) is None
+
+
 def test_closing_a_connection_fails_its_waiting_read(connection_and_peer):
     connection, _ = connection_and_peer
 
