Header values that are not ASCII are forwarded unchanged

Cause: values are decoded as Latin-1, but handed to h11 as text, which it encodes as ASCII; UnicodeEncodeError followed after the response counted as started.

Heads of requests and responses are encoded as they were decoded, at the two places that hand them to h11.

Failed before: 2 of 2 new cases (tests/gateway/test_requests.py: 500 and 0 for 200).

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -8,7 +8,7 @@
 
 from .._errors import CallerDisconnected, ConnectionBroken, MalformedMessage
 from .._limits import MemoryBudget
-from .fields import Fields
+from .fields import Fields, encode_pairs
 from .head import END_OF_HEAD, check_framing, check_raw_head
 from .sockets import (
     Receiver,
@@ -154,7 +154,9 @@
         if not self.keep_alive:
             headers.append(CLOSE_FIELD)
         self.response_started = True
-        return self._encode(h11.Response(status_code=status, headers=headers))
+        return self._encode(
+            h11.Response(status_code=status, headers=encode_pairs(headers))
+        )
 
     def encode_data(self, data):
         """Return the encoded next part of the body."""
--- a/src/merlinnotch/_http/fields.py
+++ b/src/merlinnotch/_http/fields.py
@@ -67,3 +67,11 @@
             and key not in excluded
             and key not in connection_options
         ]
+
+
+def encode_pairs(pairs):
+    """Return the pairs of header fields as h11 takes them; see :meth:`Fields.decode`.
+
+    h11 encodes values itself only if they are ASCII.
+    """
+    return [(name, value.encode("latin-1")) for name, value in pairs]
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -12,7 +12,7 @@
     MalformedMessage,
     MemoryExhausted,
 )
-from .fields import Fields
+from .fields import Fields, encode_pairs
 from .sockets import (
     LATE_READ_S,
     Receiver,
@@ -98,7 +98,9 @@
         headers = list(pairs)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(body))))
-        self._request = h11.Request(method=method, target=target, headers=headers)
+        self._request = h11.Request(
+            method=method, target=target, headers=encode_pairs(headers)
+        )
         data = self._protocol.send(self._request)
         if body:
             data += self._protocol.send(h11.Data(data=body))
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -250,6 +250,24 @@
     assert len(upstream.requests) == 1
 
 
+def test_field_values_that_are_not_ascii_are_forwarded_unchanged(world, caller):
+    name = "na\u00efve"
+    script = make_answer_script(extra=[("content-disposition", name)])
+    upstream = world.add_upstream("i-1", script)
+    answer = caller.send(ONCE_PATH, "POST", x_note=name)
+    sent = name.encode().decode("latin-1")
+    assert answer.status == 200
+    assert answer.fields["content-disposition"] == sent.lower()
+    assert upstream.requests[0].fields.get("x-note") == sent
+
+
+def test_response_to_a_request_of_ascii_may_have_other_values(world, caller):
+    """Guards against a lost answer of a request that ran."""
+    script = make_answer_script(extra=[("content-disposition", "na\u00efve")])
+    world.add_upstream("i-1", script)
+    assert caller.send(ONCE_PATH, "POST").status == 200
+
+
 def test_requests_share_a_keep_alive_connection(world, caller):
     world.add_upstream("i-1")
     sock = caller.open()
