Idle connections that were closed don't prolong a shutdown

Since a connection that was just shut down counted as busy until its green thread had ended: its socket reads as ended, which is_idle took for input.

A connection that was shut down counts as idle. The new test failed before (is_busy was true).

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -86,7 +86,9 @@
     @property
     def is_idle(self):
         """Whether nothing of the next request has arrived, read or not."""
-        return self._awaits_input and is_open_without_input(self._sock)
+        return self._awaits_input and (
+            self._is_shut_down or is_open_without_input(self._sock)
+        )
 
     def wait_for_request(self, idle_timeout_s):
         """Wait for the first byte of the next request.
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -77,3 +77,12 @@
         instance.gateway.close_idle()
         assert instance.gateway.is_busy
         assert Answer(sock.recv(65536)).status == 200
+
+
+def test_idle_connections_that_were_closed_do_not_prolong_a_shutdown(world):
+    world.add_upstream("i-1", make_answer_script())
+    instance = world.add_instance()
+    with Caller(instance).open():
+        wait_until(lambda: instance.gateway._waiting_connections)
+        instance.gateway.close_idle()
+        assert not instance.gateway.is_busy
