An own response that was read as part of another one ends the exchange

A late copy that is cut short covers the head of the call's own response, and what follows of the own body was then parsed as a head. One that quotes a refusal with the call's id made the request run again, or be refused though it ran (REFUSED, TWICE). One without a length, or with a longer one, was read until the deadline, although the answer had arrived: 504 after 1.5 s.

The own head holds the call's id, so a skip ends the exchange if that id occurs in what it drops. What it covers only in part is no status line any more and malformed. Weighed: believing no refusal after a skip (callers behind a late copy would get 502 for each 503), and refusing to skip what has no length (leaves the first form).

Failed before: 3 of 3 new cases (tests/gateway/test_skipped_responses.py: 503 among 200 and 502; 504 for 502, twice).

--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -92,7 +92,8 @@
         """
         while True:
             if self._is_skipping:
-                self._connection.skip_response(deadline)
+                awaited_id = self._attempt_id.encode("latin-1")
+                self._connection.skip_response(deadline, awaited_id)
                 self._is_skipping = False
             head = self._connection.read_head(deadline)
             mismatch = find_mismatch(head, self._attempt_id)
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -81,6 +81,7 @@
         self._turn_events = 0
         self._interim_count = 0
         self._skipped_bytes = 0
+        self._skipped_end = b""
         self._protocol = make_protocol()
         self._request = None
         self._send_thread = None
@@ -95,6 +96,7 @@
         self.exchange_count += 1
         self._interim_count = 0
         self._skipped_bytes = 0
+        self._skipped_end = b""
         headers = list(pairs)
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers.append(("content-length", str(len(body))))
@@ -137,16 +139,24 @@
             return bytes(event.data)
         raise ConnectionBroken("connection closed within the response body")
 
-    def skip_response(self, deadline):
+    def skip_response(self, deadline, awaited_id):
         """Read the rest of a response to another request, and drop it.
 
         The head of the next response can be read then; the connection is not reusable
-        any more. May be called again after :class:`ConnectionTimedOut`.
+        any more. May be called again after :class:`ConnectionTimedOut`. Raises
+        :class:`ConnectionBroken` if *awaited_id*, the bytes of the id in the awaited
+        response, occurs in what is dropped: the other response was cut short or has no
+        known end, and the awaited one was read as a part of it.
         """
         while part := self.read_part(deadline):
             self._skipped_bytes += len(part)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
                 raise ConnectionBroken("response to another request is too long")
+            text = self._skipped_end + part
+            if awaited_id in text:
+                raise ConnectionBroken("response to another request was cut short")
+            self._skipped_end = text[max(0, len(text) - len(awaited_id) + 1) :]
+        self._skipped_end = b""
         if self._must_close or self._protocol.their_state is not h11.DONE:
             raise ConnectionBroken("connection closed after another response")
         data, _ = self._protocol.trailing_data
--- a/tests/gateway/test_skipped_responses.py
+++ b/tests/gateway/test_skipped_responses.py
@@ -65,6 +65,51 @@
     check_promises(scripts, responses)
 
 
+class QuotingScript(RepeatingScript):
+    """Answers with the text of a refusal, after a response that was cut short.
+
+    The length of that one covers the head of the answer.
+    """
+
+    def __init__(self):
+        super().__init__(None)
+
+    def __call__(self, request, write):
+        attempt_id = request.fields.get("x-attempt-id")
+        self.runs[attempt_id] += 1
+        answer = make_answer(request, make_response(attempt_id, 503, [NOT_RUN]))
+        if self.runs.total() > 1:
+            head_length = answer.index(b"\r\n\r\n") + 4
+            write(FOREIGN.replace(b"length: 0", b"length: %d" % head_length))
+        write(answer)
+        return True
+
+
+def test_refusal_quoted_in_the_own_body_is_no_promise(world, caller):
+    scripts = [QuotingScript(), QuotingScript()]
+    for number, script in enumerate(scripts):
+        world.add_upstream(f"i-{number}", script)
+    responses = send_each(caller, 8)
+    assert {r.status for r in responses.values()} == {200, 502}
+    check_promises(scripts, responses)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [NO_LENGTH, FOREIGN.replace(b"length: 0", b"length: 3000")],
+    ids=["no-length", "shorter"],
+)
+def test_exchange_ends_once_the_own_response_was_read_as_part_of_another(
+    world, caller, response
+):
+    """Guards against a wait until the deadline for a response that has arrived."""
+    script = RepeatingScript(response)
+    world.add_upstream("i-1", script)
+    responses = send_each(caller, 4)
+    assert {r.status for r in responses.values()} == {200, 502}
+    check_promises([script], responses)
+
+
 def test_response_to_another_request_ends_the_first_exchange_at_once(world, caller):
     def script(request, write):
         write(FOREIGN + make_answer(request))
