A refusal that names several other requests is not believed on a new connection

Two ids that contradict each other were read as none, and a refusal without an id counts on a new connection; one with a single foreign id doesn't. A response that names any request but the call's is foreign now.

Failed before: the new case of tests/gateway/test_correlation.py (503 for 502).

--- a/src/merlinnotch/_gateway/correlation.py
+++ b/src/merlinnotch/_gateway/correlation.py
@@ -8,7 +8,7 @@
 import logging
 
 from .._errors import ConnectionBroken
-from ..platform import get_attempt_id, was_not_executed
+from ..platform import get_attempt_id, has_attempt_id, was_not_executed
 
 logger = logging.getLogger("merlinnotch")
 
@@ -32,7 +32,7 @@
     if response_id == attempt_id:
         return None
     is_refusal = was_not_executed(head.status, head.fields)
-    if response_id is None:
+    if not has_attempt_id(head.fields):
         return Mismatch.UNNAMED_REFUSAL if is_refusal else Mismatch.UNNAMED_RESPONSE
     return Mismatch.FOREIGN_REFUSAL if is_refusal else Mismatch.FOREIGN_RESPONSE
 
--- a/src/merlinnotch/platform/__init__.py
+++ b/src/merlinnotch/platform/__init__.py
@@ -13,6 +13,7 @@
     decode_response,
     encode_request,
     get_attempt_id,
+    has_attempt_id,
     was_not_executed,
 )
 from .keys import ALL_KEYS_PREFIX, CONFIGURATION, status_key
@@ -35,6 +36,7 @@
     "encode_status",
     "format_place",
     "get_attempt_id",
+    "has_attempt_id",
     "is_under_pressure",
     "parse_configuration",
     "status_key",
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -243,6 +243,11 @@
     return ids.pop() if len(ids) == 1 else None
 
 
+def has_attempt_id(fields):
+    """Return whether *fields* name a request, or several."""
+    return fields.get(_ATTEMPT_ID) is not None
+
+
 def decode_response(fields):
     """Return the :class:`ResponseHeaders` of a response's header fields.
 
--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -17,7 +17,7 @@
     make_response,
     send_each,
 )
-from tests.platform_world import PLAIN_PATH
+from tests.platform_world import ONCE_PATH, PLAIN_PATH
 
 
 @pytest.mark.parametrize(
@@ -94,6 +94,17 @@
     check_promises(scripts, send_each(caller, 8))
 
 
+def test_refusal_of_several_others_on_a_new_connection_is_not_believed(world, caller):
+    ids = [("x-attempt-id", "one"), ("x-attempt-id", "another")]
+
+    def refuse(request, write):
+        write(make_response(None, 503, [NOT_RUN, *ids]))
+        return True
+
+    world.add_upstream("i-1", refuse)
+    assert caller.send(ONCE_PATH, "POST", b"x").status == 502
+
+
 def test_refusal_without_an_id_on_a_new_connection_is_retried(world, caller):
     def refuse(request, write):
         write(make_response(None, 503, [NOT_RUN]))
