Header values with superscript digits don't end a request

Cause: str.isdigit() accepts superscripts, float() and int() don't; isdecimal() accepts what they do. The four places that convert text after such a check use it.

Failed before: the new cases of tests/gateway/test_requests.py (500 for 200) and tests/platform/test_headers.py (ValueError).

--- a/src/merlinnotch/_callers/parsing.py
+++ b/src/merlinnotch/_callers/parsing.py
@@ -121,7 +121,7 @@
 
     def _read_body(self, environ):
         length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit():
+        if not length.isdecimal():
             raise RequestRefused(ErrorKind.BAD_REQUEST, "bad Content-Length")
         if int(length) > self._max_body_bytes:
             raise RequestRefused(ErrorKind.BODY_TOO_LARGE)
--- a/src/merlinnotch/_entry/peers.py
+++ b/src/merlinnotch/_entry/peers.py
@@ -135,7 +135,7 @@
         if path != STATE_PATH:
             return NOT_FOUND, [], b""
         name, _, since = query.partition("=")
-        if name == "since" and since.isdigit():
+        if name == "since" and since.isdecimal():
             if request.fields.has_token("accept-encoding", ENCODING):
                 pairs = [("content-encoding", ENCODING)]
                 return OK, pairs, self._export_compressed(int(since))
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -274,7 +274,7 @@
             self._must_close = True
         for part in (fields.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isdecimal():
                 self.keep_alive_timeout_s = float(value)
 
 
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -364,6 +364,6 @@
     parts = []
     for entry in (text or "").split(","):
         part_id, colon, tokens = entry.strip().rpartition(":")
-        if colon and tokens.isdigit():
+        if colon and tokens.isdecimal():
             parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -268,6 +268,18 @@
     assert caller.send(ONCE_PATH, "POST").status == 200
 
 
+def test_response_with_a_superscript_as_timeout_is_forwarded(world, caller):
+    """Guards against a lost answer of a request that ran."""
+    field = b"keep-alive: timeout=\xb2\r\nx-server-seal"
+
+    def script(request, write):
+        write(make_answer(request).replace(b"x-server-seal", field))
+        return True
+
+    world.add_upstream("i-1", script)
+    assert caller.send(ONCE_PATH, "POST").status == 200
+
+
 def test_requests_share_a_keep_alive_connection(world, caller):
     world.add_upstream("i-1")
     sock = caller.open()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -36,6 +36,11 @@
     assert call.last_event == 12
 
 
+def test_prompt_parts_without_a_decimal_count_are_ignored():
+    pairs = [("x-attempt-id", "a"), ("x-prompt-prefix", "5c1e:\u00b2,91bd:410")]
+    assert [part.id for part in decode_request(Fields(pairs)).prompt] == ["91bd"]
+
+
 @pytest.mark.parametrize(
     "pairs",
     [
