--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -5,7 +5,6 @@
 import time
 
 import eventlet
-import eventlet.wsgi
 from prometheus_client import generate_latest
 
 from .._bookkeeping.ledger import Ledger
@@ -35,14 +34,12 @@
 from .._upstreams.loads import Loads
 from .._upstreams.notices import ResponseNotices
 from .._upstreams.ratings import Raters
-from .listener import open_listener
 from .metrics import Metrics
+from .server import CallerServer
 from .state import InstanceState
 
 logger = logging.getLogger("merlinnotch")
 
-MAX_CONNECTIONS = 4096
-CALLER_IDLE_TIMEOUT_S = 75.0
 DEFAULT_QUEUE_LIMIT = 256
 DEFAULT_RETRY_RATIO = 0.1
 POLL_INTERVAL_S = 0.05
@@ -153,8 +150,8 @@
             ChatHandler(state, generator, deduplicator),
             ServiceHandler(state, deduplicator),
         )
-        self._server = _start_server(self._settings.caller_address, app)
-        _start_server(self._settings.metrics_address, self._respond_to_operator)
+        self._server = CallerServer(self._settings.caller_address, app)
+        CallerServer(self._settings.metrics_address, self._respond_to_operator)
         logger.info("started")
 
     def shut_down(self):
@@ -169,7 +166,7 @@
         self._gossiper.leaving = True
         deadline = time.monotonic() + self._settings.shutdown_s
         eventlet.sleep(self._settings.drain_s)
-        self._server.kill()
+        self._server.stop_accepting()
         finished = _wait_until(self._is_idle, deadline)
         finished = (
             _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
@@ -204,20 +201,6 @@
         self.state.budget.ratio = catalogue.tuning.retry_ratio
 
 
-def _start_server(address, app):
-    return eventlet.spawn(
-        eventlet.wsgi.server,
-        open_listener(address),
-        app,
-        log_output=False,
-        max_size=MAX_CONNECTIONS,
-        socket_timeout=CALLER_IDLE_TIMEOUT_S,
-        # By default, the server would buffer tokens of streamed responses.
-        minimum_chunk_size=1,
-        debug=False,
-    )
-
-
 def _wait_until(condition, deadline):
     while time.monotonic() < deadline:
         if condition():
