Front door: requests that arrived before idle connections are closed are answered

Cause: at the end of the drain time the accept loop of eventlet's WSGI server shuts down each connection that it holds for idle, that is whose task hasn't read the line of a request. A request that has arrived is still read from the socket and run.

Ruled out: the gauge of requests in progress falls before the bytes are written (its decrement follows them).

Why this works: a connection is idle only if its task waits and the socket holds no input, and what is read after the shutdown is dropped; the state is the one that the gateway uses. The listener is closed once the connections in the kernel's queue are taken over, so that later callers are refused at once instead of waiting for the exit.

--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -167,6 +167,7 @@
         deadline = time.monotonic() + self._settings.shutdown_s
         eventlet.sleep(self._settings.drain_s)
         self._server.stop_accepting()
+        self._server.close_idle()
         finished = _wait_until(self._is_idle, deadline)
         finished = (
             _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
--- a/src/merlinnotch/_daemon/server.py
+++ b/src/merlinnotch/_daemon/server.py
@@ -1,30 +1,119 @@
 """The WSGI server for callers."""
 
+import logging
+
 import eventlet
 import eventlet.wsgi
+from eventlet.greenio import GreenSocket
+from eventlet.semaphore import Semaphore
 
+from .._http import IdleState
 from .listener import open_listener
 
+logger = logging.getLogger("merlinnotch")
+
 MAX_CONNECTIONS = 4096
 CALLER_IDLE_TIMEOUT_S = 75.0
+ACCEPT_RETRY_DELAY_S = 0.05
 
 
 class CallerServer:
-    """Serves the WSGI application *app* on *address*, a host:port pair."""
+    """Serves the WSGI application *app* on *address*, a host:port pair.
+
+    Accepts connections itself, as the accept loop of :func:`eventlet.wsgi.server` shuts
+    down connections on which a request has arrived and runs the request nevertheless.
+    """
 
     def __init__(self, address, app):
-        self._accept_thread = eventlet.spawn(
-            eventlet.wsgi.server,
-            open_listener(address),
+        self._listener = open_listener(address)
+        self._server = eventlet.wsgi.Server(
+            self._listener,
+            self._listener.getsockname(),
             app,
             log_output=False,
-            max_size=MAX_CONNECTIONS,
             socket_timeout=CALLER_IDLE_TIMEOUT_S,
             # By default, the server would buffer tokens of streamed responses.
             minimum_chunk_size=1,
             debug=False,
         )
+        self._idle_states = set()
+        self._free_slots = Semaphore(MAX_CONNECTIONS)
+        self._accept_thread = eventlet.spawn(self._accept)
 
     def stop_accepting(self):
-        """Stop accepting connections, and close those that are idle."""
+        """Refuse new connections; those that the kernel has accepted are served."""
         self._accept_thread.kill()
+        self._accept_queued()
+        self._listener.close()
+
+    def close_idle(self):
+        """Close the connections on which no request has begun to arrive."""
+        for idle_state in self._idle_states:
+            if idle_state.is_idle:
+                idle_state.shut_down()
+
+    def _accept(self):
+        while True:
+            # Before a connection is taken, as it would be lost if the task ended here.
+            self._free_slots.acquire()
+            try:
+                sock, address = self._listener.accept()
+            except OSError as error:
+                # Usually out of file descriptors, which other connections will release.
+                logger.warning("accept failed", extra={"reason": str(error)})
+                self._free_slots.release()
+                eventlet.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
+            self._begin(sock, address)
+
+    def _accept_queued(self):
+        """Serve the connections that closing the listener would reset."""
+        while True:
+            try:
+                sock, address = self._listener.fd.accept()
+            except OSError:
+                return
+            self._begin(GreenSocket(sock), address)
+
+    def _begin(self, sock, address):
+        idle_state = IdleState(sock)
+        self._idle_states.add(idle_state)
+        eventlet.spawn_n(self._serve, sock, address, idle_state)
+
+    def _serve(self, sock, address, idle_state):
+        sock.settimeout(CALLER_IDLE_TIMEOUT_S)
+        try:
+            _CallerProtocol(sock, address, self._server, idle_state)
+        except TimeoutError:
+            # The caller sends or reads nothing, so that it expects no response.
+            logger.debug("connection timed out", extra={"caller": address[0]})
+        except Exception:
+            # An uncaught error would end the hub and with it the process.
+            logger.exception("unhandled error on a connection")
+        finally:
+            self._idle_states.discard(idle_state)
+            sock.close()
+            self._free_slots.release()
+
+
+class _CallerProtocol(eventlet.wsgi.HttpProtocol):
+    """Serves the requests of one connection and keeps its *idle_state*."""
+
+    def __init__(self, sock, address, server, idle_state):
+        self._idle_state = idle_state
+        super().__init__([address, sock, eventlet.wsgi.STATE_IDLE], server)
+
+    def _read_request_line(self):
+        self._idle_state.awaits_input = True
+        has_input = self._wait_for_input()
+        self._idle_state.awaits_input = False
+        if not has_input or self._idle_state.is_shut_down:
+            return b""
+        return super()._read_request_line()
+
+    def _wait_for_input(self):
+        try:
+            # Bytes that were read along with the previous request count as well.
+            return bool(self.rfile.peek(1))
+        except ConnectionError:
+            return False
--- a/src/merlinnotch/_http/__init__.py
+++ b/src/merlinnotch/_http/__init__.py
@@ -2,6 +2,7 @@
 
 from .caller import CallerConnection, CallerRequest
 from .fields import Fields
+from .idle import IdleState
 from .listener import Listener
 from .pool import UpstreamPool
 from .server import HttpServer, RequestLimits
@@ -13,6 +14,7 @@
     "Fields",
     "Framing",
     "HttpServer",
+    "IdleState",
     "Listener",
     "RequestLimits",
     "ResponseHead",
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -10,14 +10,8 @@
 from .._limits import MemoryBudget
 from .fields import Fields, encode_pairs
 from .head import END_OF_HEAD, check_framing, check_raw_head
-from .sockets import (
-    Receiver,
-    close_quietly,
-    is_open_without_input,
-    reset_on_close,
-    send,
-    shut_down,
-)
+from .idle import IdleState
+from .sockets import Receiver, close_quietly, reset_on_close, send
 
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
@@ -80,15 +74,12 @@
         self.keep_alive = True
         self.response_started = False
         self.is_kept = False
-        self._awaits_input = True
-        self._is_shut_down = False
+        self._idle_state = IdleState(sock)
 
     @property
     def is_idle(self):
         """Whether nothing of the next request has arrived, read or not."""
-        return self._awaits_input and (
-            self._is_shut_down or is_open_without_input(self._sock)
-        )
+        return self._idle_state.is_idle
 
     def wait_for_request(self, idle_timeout_s):
         """Wait for the first byte of the next request.
@@ -97,12 +88,11 @@
         :class:`ConnectionBroken` if the connection fails, and its subclass
         :class:`ConnectionTimedOut` after *idle_timeout_s*.
         """
-        self._awaits_input = not self._buffer
+        self._idle_state.awaits_input = not self._buffer
         if not self._buffer:
             self._buffer = self._receive(idle_timeout_s)
-        self._awaits_input = False
-        # Reads still return what arrives after a shutdown, but it can't be answered.
-        return bool(self._buffer) and not self._is_shut_down
+        self._idle_state.awaits_input = False
+        return bool(self._buffer) and not self._idle_state.is_shut_down
 
     def read_request(self, limits, idle_timeout_s):
         """Return the next request, or None at the end of the connection.
@@ -210,8 +200,7 @@
 
         Input that has arrived, or arrives later, is dropped.
         """
-        self._is_shut_down = True
-        shut_down(self._sock)
+        self._idle_state.shut_down()
 
     def close(self):
         """Close the connection, marking a response in progress as incomplete."""
