Front door: a process doesn't end while a request is being read

What callers saw: a request of which the head was still arriving at the end of the drain time ended without an answer, as the process exited.

Cause: the shutdown waited for the gauge of requests in progress, which counts a request only once its head is read; the class of the fault before: a process takes itself for done by what it has begun, not by what it has accepted.

Evidence: the scenario 'A request that is still arriving when an entry stops is answered' failed with a reset connection on the code before, on a real process.

Change: the shutdown closes idle connections again and again until no connection has input or a request. Connections that were kept by a response begun before the stop are closed that way too.

Open: a caller that sends half a request and then nothing holds the shutdown until its time limit.

--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -158,8 +158,8 @@
         """Shut down gracefully; return whether all work was finished in time.
 
         Readiness probes fail at once, while new connections are accepted for the drain
-        time, until the load balancer has reacted. Then listening stops, requests in
-        progress end, and bills are posted.
+        time, until the load balancer has reacted. Then listening stops, requests that
+        are arriving or in progress end, and bills are posted.
         """
         logger.info("shutting down")
         self.state.leaving = True
@@ -167,16 +167,17 @@
         deadline = time.monotonic() + self._settings.shutdown_s
         eventlet.sleep(self._settings.drain_s)
         self._server.stop_accepting()
-        self._server.close_idle()
-        finished = _wait_until(self._is_idle, deadline)
+        finished = _wait_until(self._has_ended_requests, deadline)
         finished = (
             _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
         )
         logger.info("stopped", extra={"finished": finished})
         return finished
 
-    def _is_idle(self):
-        return self.state.metrics.in_progress._value.get() == 0
+    def _has_ended_requests(self):
+        """Close idle connections; return whether no request arrives or runs."""
+        self._server.close_idle()
+        return not self._server.is_busy
 
     def _respond_to_operator(self, environ, start_response):
         path = environ["PATH_INFO"]
--- a/src/merlinnotch/_daemon/server.py
+++ b/src/merlinnotch/_daemon/server.py
@@ -52,6 +52,11 @@
             if idle_state.is_idle:
                 idle_state.shut_down()
 
+    @property
+    def is_busy(self):
+        """Whether requests are arriving or in progress."""
+        return any(not idle_state.is_idle for idle_state in self._idle_states)
+
     def _accept(self):
         while True:
             # Before a connection is taken, as it would be lost if the task ended here.
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -105,3 +105,24 @@
     scene.send(REQUEST)
     assert scene.receive() == 0
     assert scene.runs == []
+
+
+@pytest.mark.parametrize(
+    "length", [6, 26, len(REQUEST) - 2], ids=["line", "head", "body"]
+)
+def test_server_is_busy_while_a_request_arrives(scene, length):
+    # Guards against a process that ends while a request is being read.
+    scene.send(REQUEST[:length])
+    eventlet.sleep(0.05)
+    scene.server.stop_accepting()
+    scene.server.close_idle()
+    assert scene.server.is_busy
+    scene.send(REQUEST[length:])
+    assert scene.receive() == OK
+
+
+def test_connections_that_stay_open_after_a_response_do_not_keep_the_server_busy(scene):
+    # Guards against a stop that waits for callers to close their connections.
+    scene.send(REQUEST)
+    assert scene.receive() == OK
+    assert scene.server.is_busy is False
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -30,6 +30,14 @@
     And entry 0 exited with code 0
     And exactly 2 requests are billed
 
+  Scenario: A request that is still arriving when an entry stops is answered
+    Given half of a booking has arrived at entry 0
+    When entry 0 gets SIGTERM
+    And entry 0 refuses new connections
+    And the rest of the booking arrives
+    Then the booking is answered with status 200
+    And the process of entry 0 ends with code 0
+
   Scenario: All entries are replaced under load
     Given callers keep sending bookings and chat requests with retries
     When every entry is replaced in turn under load
--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -1,6 +1,8 @@
 """Steps of the scenarios about shutdown."""
 
+import contextlib
 import itertools
+import socket
 import threading
 import time
 
@@ -9,10 +11,17 @@
 from standins import http
 from standins.stack import wait_for
 
+from .world import TEAM
+
 scenarios("leaving.feature")
 
 CALLER_COUNT = 4
 MAX_TRIES = 200
+BOOKING_FIRST_HALF = b"POST /services/marketplace/claims HTTP/1.1\r\nhost: a\r\n"
+BOOKING_SECOND_HALF = (
+    "authorization: Bearer {key}\r\nidempotency-key: late\r\n"
+    "content-length: 4\r\n\r\nbody"
+)
 
 
 @given(parsers.parse('engine "{name}" reports that it is shutting down'))
@@ -110,6 +119,52 @@
     assert stream.body.endswith(b"data: [DONE]\n\n")
 
 
+# Guards against a process that ends while the head of a request is being read.
+@given(parsers.parse("half of a booking has arrived at entry {entry:d}"))
+def _send_first_half(world, entry):
+    sock = connect(world.get_entry(entry))
+    sock.sendall(BOOKING_FIRST_HALF)
+    world.context["sock"] = sock
+
+
+@when(parsers.parse("entry {entry:d} refuses new connections"))
+def _wait_for_refusals(world, entry):
+    wait_for(lambda: is_refusing(world.get_entry(entry)), "refusal of connections")
+
+
+@when("the rest of the booking arrives")
+def _send_second_half(world):
+    key = world.team_keys[TEAM]
+    world.context["sock"].sendall(BOOKING_SECOND_HALF.format(key=key).encode())
+
+
+@then(parsers.parse("the booking is answered with status {status:d}"))
+def _check_booking(world, status):
+    with contextlib.closing(world.context["sock"]) as sock:
+        assert sock.recv(65536).startswith(f"HTTP/1.1 {status} ".encode())
+
+
+@then(parsers.parse("the process of entry {entry:d} ends with code {code:d}"))
+def _check_end(world, entry, code):
+    world.context["thread"].join()
+    assert world.context["code"] == code
+
+
+def connect(entry):
+    """Return a connection to the callers' address of an entry; raises OSError."""
+    host, _, port = entry.caller.partition(":")
+    return socket.create_connection((host, int(port)), timeout=10.0)
+
+
+def is_refusing(entry):
+    """Return whether an entry refuses new connections of callers."""
+    try:
+        connect(entry).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 @given("callers keep sending bookings and chat requests with retries")
 def _start_callers(world):
     world.context["stop"] = threading.Event()
