Requests that were read during a response are answered after the begin of a shutdown

What callers saw: a request sent on a kept connection while the response before it was under way was read whole; if SIGTERM came in between, its connection was closed after that response, without an answer to the request. It had not been passed on.

Evidence: test_requests_read_during_a_response_are_answered_after_the_begin_of_a_shutdown failed before with 1 of 2 and 1 of 3 answered.

Change: such a connection ends only if nothing more has arrived, and 'connection: close' is announced with the last of the requests that were read.

--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -200,9 +200,9 @@
             connection.keep_alive = False
         resent_bytes = self.answer(request, connection, self._caller_source)
         traffic.record_resent(resent_bytes)
-        # A response started before the shutdown may have announced keep-alive, but
-        # the next request on the connection would be cut off.
-        return connection.finish() and not self.is_shutting_down
+        # A response started before the shutdown may have announced keep-alive.
+        is_kept = connection.finish()
+        return is_kept and (connection.has_input or not self.is_shutting_down)
 
     def _admit_on_kept_connection(self):
         """Count a request on a kept connection; return whether to keep it further."""
@@ -230,7 +230,7 @@
 
     def _answer(self, request, connection, source):
         call = None
-        if self.is_shutting_down:
+        if self.is_shutting_down and not connection.has_read_ahead:
             connection.keep_alive = False
         try:
             call = source.admit(request, self._view)
--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -11,7 +11,13 @@
 from .fields import Fields, encode_pairs
 from .head import END_OF_HEAD, check_framing, check_raw_head
 from .idle import IdleState
-from .sockets import Receiver, close_quietly, reset_on_close, send
+from .sockets import (
+    Receiver,
+    close_quietly,
+    is_open_without_input,
+    reset_on_close,
+    send,
+)
 
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
@@ -81,6 +87,16 @@
         """Whether nothing of the next request has arrived, read or not."""
         return self._idle_state.is_idle
 
+    @property
+    def has_read_ahead(self):
+        """Whether bytes after the request in progress have been read."""
+        return bool(self._buffer or self._protocol.trailing_data[0])
+
+    @property
+    def has_input(self):
+        """Whether something has arrived after the last request, read or not."""
+        return bool(self._buffer) or not is_open_without_input(self._sock)
+
     def wait_for_request(self, idle_timeout_s):
         """Wait for the first byte of the next request.
 
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 
+import eventlet
 import pytest
 
 from merlinnotch._errors import ConnectionTimedOut
 from merlinnotch._fleet import CallerLimits
 from merlinnotch._gateway.idle_connections import wait_for_request
-from standins.platform_upstream import make_answer_script
-from tests.platform_world import PLAIN_PATH, Answer, Caller, wait_until
+from standins.platform_upstream import make_answer, make_answer_script
+from tests.platform_world import PLAIN_PATH, Answer, Caller, read_to_end, wait_until
 
 SHORT_S = 2.0
 LONG_S = 10.0
@@ -41,6 +42,22 @@
         return wait_for_request(self, self.get_limits, self.read_clock)
 
 
+class HeldScript:
+    """A script of an upstream that answers only once it is released."""
+
+    def __init__(self):
+        self._released = eventlet.event.Event()
+
+    def __call__(self, request, write):
+        self._released.wait()
+        write(make_answer(request))
+        return True
+
+    def release(self):
+        """Let the upstream answer."""
+        self._released.send()
+
+
 def test_wait_ends_at_the_idle_timeout():
     scene = Scene(request_at=SHORT_S + 1.0)
     with pytest.raises(ConnectionTimedOut):
@@ -86,3 +103,25 @@
         wait_until(lambda: instance.gateway._waiting_connections)
         instance.gateway.close_idle()
         assert not instance.gateway.is_busy
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_requests_read_during_a_response_are_answered_after_the_begin_of_a_shutdown(
+    world, count
+):
+    # Guards against requests that were read ahead and dropped with their connection.
+    script = HeldScript()
+    world.add_upstream("i-1", script)
+    instance = world.add_instance()
+    caller = Caller(instance)
+    with caller.open() as sock:
+        sock.sendall(caller.encode(PLAIN_PATH, connection=None))
+        wait_until(lambda: world.upstreams["i-1"].requests)
+        later = [caller.encode(PLAIN_PATH, connection=None) for _ in range(count)]
+        sock.sendall(b"".join(later))
+        eventlet.sleep(0.05)
+        instance.gateway.begin_shutdown()
+        script.release()
+        data = read_to_end(sock)
+    assert data.count(b"HTTP/1.1 200") == 1 + count
+    assert data.count(b"connection: close") == 1
