Bytes that arrive while the process stands still past a time limit are read

What callers saw: a kept connection was closed unread although a request had arrived on it, if the instance stood still at that moment until after the idle timeout. The request was not passed on; once-only callers couldn't know that. The same of a response: its attempt was given up though the response was there.

If the process stands still while it handles other sockets, the event loop looks at time limits before it looks at sockets again, and the wait ended without a look.

Evidence: test_bytes_that_arrive_while_the_process_stands_still_are_not_lost failed before (ConnectionTimedOut).

Change: a wait that has timed out is followed by one read that doesn't wait.

--- a/src/merlinnotch/_http/sockets.py
+++ b/src/merlinnotch/_http/sockets.py
@@ -102,7 +102,9 @@
             self._was_ready = False
             if timeout_s <= 0:
                 raise ConnectionTimedOut("read timed out")
-            _wait_until_readable(self._sock, timeout_s)
+            if not _wait_until_readable(self._sock, timeout_s):
+                # The process may have stood still while bytes arrived.
+                timeout_s = 0.0
         return data
 
 
@@ -118,15 +120,17 @@
 
 
 def _wait_until_readable(sock, timeout_s):
+    """Return whether *sock* became readable within *timeout_s* seconds."""
     try:
         trampoline(
             sock.fileno(), read=True, timeout=timeout_s, timeout_exc=_ReadTimeout
         )
-    except _ReadTimeout as error:
-        raise ConnectionTimedOut("read timed out") from error
+    except _ReadTimeout:
+        return False
     except (OSError, ValueError) as error:
         # Another green thread has closed the socket.
         raise ConnectionBroken(f"read failed: {error}") from error
+    return True
 
 
 def send(sock, data, timeout_s):
--- a/tests/http/test_late_reads.py
+++ b/tests/http/test_late_reads.py
@@ -1,5 +1,7 @@
 """Reads that begin at or after their time limit."""
 
+import time
+
 import eventlet
 import pytest
 from eventlet.green import socket
@@ -21,6 +23,15 @@
         sock.close()
 
 
+def wait_for_event():
+    """Return as the event loop handles a socket that has become readable."""
+    reader, writer = socket.socketpair()
+    eventlet.spawn(writer.sendall, b"x")
+    reader.recv(1)
+    for sock in (reader, writer):
+        sock.close()
+
+
 @pytest.mark.parametrize("timeout_s", [0.0, -0.5 * LATE_READ_S])
 def test_bytes_that_have_arrived_are_not_lost_to_a_limit_just_passed(pair, timeout_s):
     reader, writer = pair
@@ -28,6 +39,17 @@
     assert Receiver(reader).receive(timeout_s) == b"data"
 
 
+def test_bytes_that_arrive_while_the_process_stands_still_are_not_lost(pair):
+    # Guards against closing an idle connection on which a request has arrived.
+    reader, writer = pair
+    read = eventlet.spawn(Receiver(reader).receive, 0.05)
+    wait_for_event()
+    # From here the time limit is looked at before the sockets.
+    writer.fd.sendall(b"data")
+    time.sleep(0.1)
+    assert read.wait() == b"data"
+
+
 def test_read_at_its_limit_does_not_wait(pair):
     with eventlet.Timeout(1.0), pytest.raises(ConnectionTimedOut):
         Receiver(pair[0]).receive(0.0)
