Front door: a chat answered 408, 409 or 429 without the statement may have run

What callers saw: 'not run' for a chat that an engine may have run, and the same idempotency key ran it again, since the claim was released.

An engine may answer these three after it has run the request.

Evidence: test_chat_that_fails_without_the_upstreams_statement_may_have_run failed before for all three statuses. Rejections of the form (400, 404, 413, 422) stay 'not run', which a second new test holds.

Change: the three count as a failed attempt, like a status of the 500s.

--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -36,6 +36,9 @@
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
 MAX_DETAIL_BYTES = 4096
+UNCLEAR_STATUSES = frozenset({408, 409, 429})
+"""An upstream may answer so after it has run the request; other client errors reject
+the form of a request."""
 
 
 class UpstreamClient:
@@ -225,6 +228,8 @@
 
 
 def _check_not_rejected(response):
+    if response.status in UNCLEAR_STATUSES:
+        raise AttemptFailed(FailureReason.ERROR, f"status {response.status}")
     if response.status >= 400:
         detail = response.read(MAX_DETAIL_BYTES).decode(errors="replace")[:200]
         raise AttemptFailed(FailureReason.REJECTED, detail)
--- a/tests/upstreams/test_repeats.py
+++ b/tests/upstreams/test_repeats.py
@@ -156,3 +156,24 @@
     except AttemptFailed as failure:
         assert failure.traits.may_have_run
     assert server.ran_ids[-1] == "id-2"
+
+
+@pytest.mark.parametrize("status", [408, 409, 429])
+def test_chat_that_fails_without_the_upstreams_statement_may_have_run(
+    make_server, send, status
+):
+    # Guards against "not run", and a released claim, for a chat that ran.
+    server = make_server([f"{status} X"], b"")
+    with pytest.raises(AttemptFailed) as failed:
+        send(server, "chat", "id-1")
+    assert failed.value.traits.may_have_run
+
+
+@pytest.mark.parametrize("status", [400, 404, 413, 422])
+def test_chat_that_an_upstream_rejects_for_its_form_did_not_run(
+    make_server, send, status
+):
+    server = make_server([f"{status} X"], b"")
+    with pytest.raises(AttemptFailed) as failed:
+        send(server, "chat", "id-1")
+    assert failed.value.reason is FailureReason.REJECTED
