--- a/soak/callers.py
+++ b/soak/callers.py
@@ -111,7 +111,10 @@
             self._sock = None
 
     def _check_surplus(self):
-        """Record what has arrived on the kept connection since the last answer."""
+        """Record what has arrived on the kept connection since the last answer.
+
+        Opens another connection if the kept one has been closed.
+        """
         if self._sock is None:
             return
         try:
@@ -120,6 +123,8 @@
             return
         if data:
             self._record_surplus(self._last_attempt_id, data)
+        else:
+            self._close_connection()
 
     def _record_surplus(self, attempt_id, data):
         self._history.surplus.append((self._instance.name, attempt_id, data))
--- a/soak/history.py
+++ b/soak/history.py
@@ -293,7 +293,8 @@
 def _check_stops(history):
     """Yield a message for each answer that a graceful shutdown aborted.
 
-    Ignores answers whose last upstream failed.
+    Ignores answers whose last upstream failed, and requests that were sent after the
+    signal and not passed on.
     """
     last_runs = {run.attempt_id: run for run in history.runs}
     for instance, signalled_at, ended_at in history.stops:
@@ -302,12 +303,16 @@
         ):
             continue
         for outcome in history.outcomes:
+            if outcome.instance != instance or outcome.status:
+                continue
+            last_run = last_runs.get(outcome.attempt_id)
             was_in_flight = (
                 outcome.sent_at < signalled_at < outcome.ended_at <= ended_at
             )
-            if outcome.instance != instance or not was_in_flight or outcome.status:
+            was_sent_during_stop = signalled_at <= outcome.sent_at < ended_at
+            was_passed_on = was_sent_during_stop and last_run is not None
+            if not was_in_flight and not was_passed_on:
                 continue
-            last_run = last_runs.get(outcome.attempt_id)
             if last_run is None or not last_run.failed:
                 yield f"aborted by a graceful shutdown: {outcome.attempt_id} {instance}"
 
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -137,6 +137,16 @@
     assert "aborted by a graceful shutdown" in find_violations(history)[0]
 
 
+def test_request_sent_during_a_stop_and_passed_on_without_an_answer_is_reported(
+    history,
+):
+    history.stops.append(("one", 9.5, 11.0))
+    record_outcome(history, status=0, is_complete=False)
+    assert find_violations(history) == []
+    history.runs.append(RUN)
+    assert "aborted by a graceful shutdown" in find_violations(history)[0]
+
+
 def test_unexpected_process_exit_is_reported(history):
     history.unexpected_exits.append("one")
     assert find_violations(history) == ["exited unexpectedly: one"]
