--- a/tests/gateway/test_correlation.py
+++ b/tests/gateway/test_correlation.py
@@ -51,11 +51,13 @@
 def test_refusal_of_another_request_does_not_make_a_request_run_twice(
     world, caller, response
 ):
+    # Guards against a late refusal that counts for the next request of its link.
     scripts = add_pair(world, response)
     check_promises(scripts, send_each(caller, 8))
 
 
 def test_load_in_a_response_to_another_request_is_not_believed(world, caller):
+    # Guards against a late response that misstates how busy an upstream is.
     load = ("x-server-load", "7,9,8")
     world.add_upstream("i-1", RepeatingScript(make_response("another", extra=[load])))
     send_each(caller, 2)
@@ -76,6 +78,7 @@
 def test_refusal_without_an_id_does_not_make_a_request_run_twice(
     world, caller, response
 ):
+    # Guards against a refusal that counts for whichever request waits.
     scripts = add_pair(world, response)
     check_promises(scripts, send_each(caller, 8))
 
@@ -84,6 +87,7 @@
 def test_refusal_with_contradicting_ids_does_not_make_a_request_run_twice(
     world, caller, is_own_first
 ):
+    # Guards against a refusal of which only the first id is looked at.
     def make_refusal(attempt_id):
         other = ("x-attempt-id", "another")
         own = ("x-attempt-id", attempt_id)
@@ -95,6 +99,7 @@
 
 
 def test_refusal_of_several_others_on_a_new_connection_is_not_believed(world, caller):
+    # Guards against several ids that count as none.
     ids = [("x-attempt-id", "one"), ("x-attempt-id", "another")]
 
     def refuse(request, write):
@@ -143,6 +148,7 @@
 def test_caller_gets_its_response_after_those_of_other_requests(
     world, caller, response, count
 ):
+    # Guards against 502 for a request whose own response follows a late one.
     script = RepeatingScript(response, count)
     upstream = world.add_upstream("i-1", script)
     responses = send_each(caller, 4)
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -81,6 +81,7 @@
 def test_request_that_arrived_before_idle_connections_are_closed_is_answered(
     world, is_used
 ):
+    # Guards against sending a request whose connection is already shut down.
     world.add_upstream("i-1", make_answer_script())
     instance = world.add_instance()
     caller = Caller(instance)
@@ -97,6 +98,7 @@
 
 
 def test_idle_connections_that_were_closed_do_not_prolong_a_shutdown(world):
+    # Guards against a stop that waits for what it has closed itself.
     world.add_upstream("i-1", make_answer_script())
     instance = world.add_instance()
     with Caller(instance).open():
--- a/tests/gateway/test_late_interruptions.py
+++ b/tests/gateway/test_late_interruptions.py
@@ -42,6 +42,7 @@
 def test_request_that_is_sent_before_its_refusal_takes_effect_is_not_called_not_run(
     world, monkeypatch, interrupt
 ):
+    # Guards against an outcome that was decided before the request was sent.
     world.add_upstream("i-1", hang)
     process = world.add_instance()
     interrupt_before_send(monkeypatch, process, interrupt)
@@ -54,6 +55,7 @@
 def test_relayed_request_that_is_sent_as_its_peer_ends_is_not_sent_again(
     world, monkeypatch
 ):
+    # Guards against a second run after a peer that had sent the request.
     world.add_upstream("i-1", hang)
     processes = [world.add_instance(name) for name in ("one", "two", "three")]
     for process in processes:
--- a/tests/gateway/test_skipped_responses.py
+++ b/tests/gateway/test_skipped_responses.py
@@ -47,6 +47,7 @@
 def test_whole_response_of_another_request_is_skipped_in_any_form(
     world, caller, response
 ):
+    # Guards against a response that is taken for the own one by its form.
     script = RepeatingScript(response)
     world.add_upstream("i-1", script)
     responses = send_each(caller, 4)
@@ -58,6 +59,7 @@
 def test_response_of_another_request_without_a_sound_end_is_no_promise(
     world, caller, response
 ):
+    # Guards against "not run" read from the remains of a broken response.
     scripts = add_pair(world, response)
     responses = send_each(caller, 8)
     assert {r.status for r in responses.values()} <= {200, 502, 504}
@@ -86,6 +88,7 @@
 
 
 def test_refusal_quoted_in_the_own_body_is_no_promise(world, caller):
+    # Guards against "not run" read from the body of a successful response.
     scripts = [QuotingScript(), QuotingScript()]
     for number, script in enumerate(scripts):
         world.add_upstream(f"i-{number}", script)
--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -121,6 +121,7 @@
 
 
 def test_connection_with_unread_input_is_not_idle(connection_and_peer):
+    # Guards against closing a connection on which a request has arrived.
     connection, peer = connection_and_peer
     assert connection.is_idle
     peer.sendall(b"G")
@@ -128,6 +129,7 @@
 
 
 def test_input_is_not_read_as_a_request_after_a_shut_down(connection_and_peer):
+    # Guards against sending a request whose connection is already shut down.
     connection, peer = connection_and_peer
     peer.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
     connection.shut_down()
