--- a/tests/ablate.py
+++ b/tests/ablate.py
@@ -129,10 +129,17 @@
     Ablation(
         "shutdown waits for requests in progress",
         f"{SOURCE}/_daemon/instance.py",
-        "finished = _wait_until(self._is_idle, deadline)",
+        "finished = _wait_until(self._has_ended_requests, deadline)",
         "finished = True",
         "test_leaving.py::test_an_entry_finishes_streams_and_serves_new_connections_after_sigterm",
     ),
+    Ablation(
+        "shutdown waits for requests that arrive",
+        f"{SOURCE}/_daemon/instance.py",
+        "finished = _wait_until(self._has_ended_requests, deadline)",
+        "finished = True",
+        "test_leaving.py::test_a_request_that_is_still_arriving_when_an_entry_stops_is_answered",
+    ),
 )
 
 
