KNOWN-RED.txt: an entry a line; its form is checked

Two lines held several records by '||', so that the bound of fifteen lines bounded nothing. Each record is a line of its own now, with four fields that are checked: test, what was seen, command, issue. The bound of fifteen stays, for the tests that are passed over; records of runs by hand pass over no test.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,10 +1,13 @@
 """Runs the tests except those that KNOWN-RED.txt lists.
 
-Each line there starts with the id of a test, and ``|`` separates its fields. The file
-has fifteen lines at most, and every run prints them.
+Each line there is one entry of four fields, which ``|`` separates: the test, what was
+seen, the command, and ``issue`` with a number. Entries of tests are passed over,
+fifteen at most; other entries record what runs by hand have found. Every run prints
+all of them.
 """
 
 import pathlib
+import re
 import sys
 
 import pytest
@@ -12,25 +15,44 @@
 KNOWN_RED_PATH = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 15
 WORKER_COUNT = 4
+ISSUE = re.compile(r"issue \d+")
 
 
 def read_known_red(text):
-    """Return the non-empty lines; raises ValueError for more than MAX_KNOWN_RED."""
-    lines = [line.strip() for line in text.splitlines() if line.strip()]
-    if len(lines) > MAX_KNOWN_RED:
-        raise ValueError(
-            f"{len(lines)} known red tests, at most {MAX_KNOWN_RED} allowed"
-        )
-    return lines
+    """Return the entries, each as a list of its fields.
+
+    Raises ValueError for an entry of another form, and for more than MAX_KNOWN_RED
+    entries of tests.
+    """
+    entries = [
+        [field.strip() for field in line.split(" | ")]
+        for line in text.splitlines()
+        if line.strip()
+    ]
+    for fields in entries:
+        if len(fields) != 4 or not all(fields) or not ISSUE.fullmatch(fields[3]):
+            raise ValueError(f"not an entry of four fields: {' | '.join(fields)}")
+        if any("||" in field for field in fields):
+            raise ValueError(f"more than one entry on a line: {fields[0]}")
+    count = sum(is_test(fields) for fields in entries)
+    if count > MAX_KNOWN_RED:
+        raise ValueError(f"{count} known red tests, at most {MAX_KNOWN_RED} allowed")
+    return entries
+
+
+def is_test(fields):
+    """Return whether an entry names a test that pytest runs."""
+    return fields[0].startswith("tests/")
 
 
 def main():
     """Run pytest with the arguments of the command line; return its exit code."""
-    lines = read_known_red(KNOWN_RED_PATH.read_text())
     options = ["-n", str(WORKER_COUNT)]
-    for line in lines:
-        print(f"deselected as known red: {line}")
-        options += ["--deselect", line.partition("|")[0].strip()]
+    for fields in read_known_red(KNOWN_RED_PATH.read_text()):
+        kind = "deselected as known red" if is_test(fields) else "known red, by hand"
+        print(f"{kind}: {' | '.join(fields)}")
+        if is_test(fields):
+            options += ["--deselect", fields[0]]
     return pytest.main([*sys.argv[1:], *options])
 
 
