--- a/src/merlinnotch/_gateway/gateway.py
+++ b/src/merlinnotch/_gateway/gateway.py
@@ -200,7 +200,8 @@
             connection.keep_alive = False
         resent_bytes = self.answer(request, connection, self._caller_source)
         traffic.record_resent(resent_bytes)
-        # A response started before the shutdown may have announced keep-alive.
+        # Keep-alive may have been announced before the shutdown, so that the caller has
+        # sent another request.
         is_kept = connection.finish()
         return is_kept and (connection.has_input or not self.is_shutting_down)
 
