Front door: the log says how many requests a stop cut off

'stopped' has the field 'cut', like that of the gateway: requests that were arriving or running at the time limit of the shutdown. Without it a request that the limit ended can't be told from one that a caller gave up.

--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -168,10 +168,11 @@
         eventlet.sleep(self._settings.drain_s)
         self._server.stop_accepting()
         finished = _wait_until(self._has_ended_requests, deadline)
+        cut = self._server.count_busy()
         finished = (
             _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
         )
-        logger.info("stopped", extra={"finished": finished})
+        logger.info("stopped", extra={"finished": finished, "cut": cut})
         return finished
 
     def _has_ended_requests(self):
--- a/src/merlinnotch/_daemon/server.py
+++ b/src/merlinnotch/_daemon/server.py
@@ -55,7 +55,11 @@
     @property
     def is_busy(self):
         """Whether requests are arriving or in progress."""
-        return any(not idle_state.is_idle for idle_state in self._idle_states)
+        return self.count_busy() > 0
+
+    def count_busy(self):
+        """Return on how many connections requests are arriving or in progress."""
+        return sum(not idle_state.is_idle for idle_state in self._idle_states)
 
     def _accept(self):
         while True:
