Tests: servers in threads don't wait for an event loop that does not run

Cause, from the stacks of all green threads: eventlet.wsgi leaves its green copy as the attribute 'server' of the package http, so that servers of these tests used green locks. Before: tests/daemon and tests/store not done in 100 s. After: tests/daemon, store, upstreams, http 294 passed in 47 s, one process.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,18 @@
 """Fixtures shared by several test folders."""
 
+import http.server
+import sys
+
+import eventlet.wsgi  # noqa: F401
 import pytest
 from hypothesis import HealthCheck, settings
 
 from tests.platform_world import Caller, World
 
+# The import of eventlet.wsgi leaves its green copy as the attribute of the package, and
+# a server of that copy in a thread waits for an event loop that does not run.
+http.server = sys.modules["http.server"]
+
 # How fast inputs are generated depends on what else the machine does.
 settings.register_profile("untimed", suppress_health_check=[HealthCheck.too_slow])
 settings.load_profile("untimed")
