--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -139,6 +139,11 @@
         """The file with the output of the process."""
         return self._folder / f"{self.name}.log"
 
+    def read_last_line(self):
+        """Return the end of the last line that the process wrote."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return lines[-1][-200:] if lines else ""
+
     def start(self):
         """Start the process with the command of the deploy file."""
         environment = {
@@ -415,7 +420,10 @@
             size_mb = entry.measure_private_mb()
             self.peaks[entry.name] = max(self.peaks[entry.name], size_mb)
             if entry.process.poll() is not None:
-                self._record.write(f"{entry.name} ended: {entry.process.returncode}")
+                self._record.write(
+                    f"{entry.name} ended: {entry.process.returncode}, "
+                    f"{entry.read_last_line()}"
+                )
             elif size_mb <= self._limit_mb:
                 continue
             else:
