--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -190,6 +190,15 @@
             self.process.wait()
 
 
+def choose_host(number):
+    """Return a loopback address for an entry that scripts run beside don't use.
+
+    They could take its ports while the entry is started again.
+    """
+    pid = os.getpid()
+    return f"127.{100 + pid // 250 % 100}.{1 + pid % 250}.{number}"
+
+
 def read_private_mb(pid):
     """Return RssAnon of a process in MB, 0 if it has ended.
 
@@ -498,7 +507,7 @@
         """Start an entry process and wait until it is ready."""
         entry = Entry(
             f"edge-{number}",
-            f"127.0.0.{10 + number}",
+            choose_host(number),
             self.store.address,
             self.folder,
             self.memory_mb,
