--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,7 @@
 
 from review.deployment_2 import (
     Deployment,
+    KeptClient,
     MemoryWatch,
     Record,
     exchange,
@@ -27,8 +28,9 @@
 PART_NAMES = [f"{number:03x}" for number in range(4096)]
 PAUSE_S = 1.0
 """One such request a second at each machine."""
-ENDS = 3
-"""Processes that end so often on two machines break the rule."""
+KEPT_CLIENTS = 8
+"""Ordinary clients at each machine that keep their connection."""
+MAX_LOST = 3
 
 
 def make_prefix(generator):
@@ -119,6 +121,12 @@
         threads += [
             eventlet.spawn(send_streams, record, e, until, streams) for e in entries
         ]
+        kept = [
+            KeptClient(record, deployment, entry, number)
+            for entry in entries
+            for number in range(KEPT_CLIENTS)
+        ]
+        threads += [eventlet.spawn(client.run, until) for client in kept]
         for thread in threads:
             thread.wait()
         eventlet.sleep(4.0)
@@ -131,7 +139,14 @@
             f"runs: {deployment.count_runs('p-')} {deployment.count_runs('s-')}"
         )
         record.write(f"peak MB of {MEMORY_MB}: {peaks}, ends of processes: {ends}")
-        is_broken = sum(count >= ENDS for count in ends.values()) >= 2
+        statuses = {}
+        for client in kept:
+            for status, count in client.statuses.items():
+                statuses[status] = statuses.get(status, 0) + count
+        lost = sum(len(client.lost) for client in kept)
+        record.write(f"requests on kept connections by status: {statuses}")
+        record.write(f"of these passed on and lost: {lost}, allowed: {MAX_LOST}")
+        is_broken = lost > MAX_LOST
         record.write("BROKEN" if is_broken else "held")
         return 3 if is_broken else 0
     finally:
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -30,6 +30,9 @@
 COULD_NOT_RUN = 2
 DESCRIPTORS = 4100
 """Of a process on an edge machine."""
+KEPT_PAUSE_S = 0.05
+KEPT_WAIT_S = 5.0
+"""Longer than the timeout of the route, which ends a request that isn't answered."""
 RESTART_S = 1.0
 """Delay after which the platform starts a process that has ended."""
 SETTINGS = """\
@@ -456,6 +459,89 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
 
 
+class KeptClient:
+    """An ordinary client that sends one request after the other on a kept connection.
+
+    *lost* lists the requests that a server had begun to run, that weren't the first of
+    their connection, and whose connection ended without a byte of an answer.
+    """
+
+    def __init__(self, record, deployment, entry, number):
+        self._record = record
+        self._deployment = deployment
+        self._entry = entry
+        self._name = f"k-{entry.name}-{number}"
+        self._sock = None
+        self._answered = 0
+        self.statuses = {}
+        self.lost = []
+
+    def run(self, until):
+        """Send requests until the time *until*."""
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            self._call(f"{self._name}-{number}.")
+            eventlet.sleep(KEPT_PAUSE_S)
+
+    def _call(self, attempt_id):
+        answer = b""
+        is_ended = True
+        try:
+            if self._sock is None:
+                self._connect()
+            self._sock.sendall(make_request("/status/q", attempt_id, close=False))
+            answer = self._read()
+        except TimeoutError:
+            # The client leaves; the machine hasn't closed the connection.
+            is_ended = False
+        except OSError:
+            pass
+        status = parse_status(answer)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        if not answer and is_ended:
+            self._record_unanswered(attempt_id)
+        self._answered += status != 0
+        if status == 0 or b"connection: close" in answer.lower():
+            self._close()
+
+    def _connect(self):
+        host, _, port = self._entry.caller_address.rpartition(":")
+        self._answered = 0
+        self._sock = socket.create_connection((host, int(port)), timeout=1.0)
+        self._sock.settimeout(KEPT_WAIT_S)
+
+    def _close(self):
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+
+    def _read(self):
+        """Return a whole answer, or what arrived before the connection ended."""
+        answer = b""
+        while True:
+            block = self._sock.recv(65536)
+            if not block:
+                return answer
+            answer += block
+            head, end, body = answer.partition(b"\r\n\r\n")
+            lines = head.lower().split(b"\r\n")
+            lengths = [x for x in lines if x.startswith(b"content-length:")]
+            if end and lengths and len(body) >= int(lengths[0].partition(b":")[2]):
+                return answer
+
+    def _record_unanswered(self, attempt_id):
+        """Count a request that ended without a byte, if it was passed on."""
+        run_count = self._deployment.count_runs(attempt_id)
+        if not self._answered or not run_count:
+            return
+        self.lost.append(attempt_id)
+        self._record.write(
+            f"{attempt_id}: request {self._answered + 1} of its connection, run by "
+            f"{run_count} servers, connection ended without an answer"
+        )
+
+
 class Deployment:
     """A store, servers and entry processes in a temporary folder.
 
