--- a/src/merlinnotch/_gateway/attempt.py
+++ b/src/merlinnotch/_gateway/attempt.py
@@ -129,7 +129,7 @@
             self._totals.record_retry(upstream.service, started_at)
         call.sent_starts.add(upstream.start)
         if placement_request.model:
-            load.cache.record(placement_request.model, placement_request.prompt)
+            load.cache.record(placement_request.prefixes)
             load.backlog.record(estimate.prefill_ms, started_at)
             self._load_exchange.report_prompt(upstream, estimate.prefill_ms)
         call.may_have_run = True
--- a/src/merlinnotch/_placement/__init__.py
+++ b/src/merlinnotch/_placement/__init__.py
@@ -3,7 +3,7 @@
 An engine is an upstream that runs models.
 """
 
-from .cache import PrefixCache
+from .cache import PrefixCache, list_prefixes
 from .cascade import CascadeConditions, CascadePolicy, CascadeSettings
 from .event_gaps import EventGapBaselines
 from .hard_shares import HardShares
@@ -40,4 +40,5 @@
     "WarmUp",
     "WorkTimes",
     "choose_urgency",
+    "list_prefixes",
 ]
--- a/src/merlinnotch/_placement/placer.py
+++ b/src/merlinnotch/_placement/placer.py
@@ -1,11 +1,13 @@
 """Selection of the upstream for one request."""
 
+import functools
 import math
 import random
 from dataclasses import dataclass
 
 from .._fleet.cold import ColdPeriods
 from .._rendezvous_hashing import get_highest_ranked
+from .cache import list_prefixes
 from .load_policy import Feature, LoadPolicy
 from .slots import estimate_slot_interval_ms
 from .spread import compute_fill
@@ -50,6 +52,11 @@
         """Key of the shared prefix; the last part is unique to the request."""
         return "/".join(part.id for part in self.prompt[:-1])
 
+    @functools.cached_property
+    def prefixes(self):
+        """The prefixes of the prompt, as :class:`PrefixCache` takes them."""
+        return list_prefixes(self.model, self.prompt)
+
 
 @dataclass(frozen=True)
 class Estimate:
@@ -121,7 +128,7 @@
     def count_uncached(self, upstream, request, affinity_upstream=None):
         """Return the expected number of prompt tokens to prefill at *upstream*."""
         cache = self._loads.get(upstream).cache
-        uncached = cache.count_uncached(request.model, request.prompt)
+        uncached = cache.count_uncached(request.prefixes)
         if upstream is affinity_upstream and request.prompt:
             own_tokens = request.prompt[-1].tokens
             uncached = own_tokens + (uncached - own_tokens) * (1 - AFFINITY_HIT_RATE)
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import random
 import sys
 
 import eventlet
@@ -123,6 +124,20 @@
         sock.sendall(self._head + b"\r\n")
 
 
+class ManyParts(Member):
+    """Sends prompts of as many parts as a head may have, each prompt another one."""
+
+    part_count = 2300
+    part_names = [f"{number:03x}" for number in range(4096)]
+
+    def play(self, sock):
+        names = random.sample(self.part_names, self.part_count)
+        prompt = ",".join(f"{name}:1" for name in names)
+        sock.sendall(self._head + b"x-prompt-prefix: %s\r\n" % prompt.encode())
+        sock.sendall(b"content-length: 0\r\n\r\n")
+        sock.recv(RECEIVE_BYTES)
+
+
 KINDS = {
     "slow": SlowReader,
     "steady": SteadyReader,
@@ -134,6 +149,7 @@
     "half-head": HalfHead,
     "pipeline": Pipeliner,
     "leave": Leaver,
+    "many-parts": ManyParts,
 }
 
 
--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -44,12 +44,15 @@
 
 
 class Deployment:
-    """A store, an upstream of either kind and an instance, and crowds before it."""
+    """A store, an upstream of either kind and an instance, and crowds before it.
 
-    def __init__(self, folder, descriptor_limit=None):
+    *caller_limits* replace some limits of the configuration on what callers send.
+    """
+
+    def __init__(self, folder, descriptor_limit=None, **caller_limits):
         self._crowds = []
         self.store = StandInStore()
-        self.store.put("op/config", make_crowd_configuration())
+        self.store.put("op/config", make_crowd_configuration(caller_limits))
         self.upstreams = [
             self._add_upstream("app", answer_by_path),
             self._add_upstream("engines", stream_large),
@@ -134,13 +137,17 @@
         return upstream
 
 
-def make_crowd_configuration():
-    """Return a configuration whose routes leave time for large answers."""
+def make_crowd_configuration(caller_limits):
+    """Return a configuration whose routes leave time for large answers.
+
+    *caller_limits* replace some limits on what callers send.
+    """
     routes = [route | {"timeout-ms": TIMEOUT_MS} for route in make_routes()]
     services = [
         service | {"max-conns": 1000} for service in make_configuration(1)["services"]
     ]
-    return make_configuration(1, routes=routes, services=services)
+    document = make_configuration(1, routes=routes, services=services)
+    return document | {"limits": document["limits"] | caller_limits}
 
 
 def make_head(path, method):
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -16,6 +16,7 @@
 RESERVED_DESCRIPTORS = 30
 """Descriptors that crowds have to leave to connections to upstreams and others."""
 STOP_S = 30.0
+MAX_HEADER_BYTES = 16384
 
 
 def check(deployment, duration_s=CROWD_S):
@@ -83,6 +84,13 @@
     check(deployment)
 
 
+def test_prompts_of_many_parts(start_deployment):
+    # Memory for each prompt grew with the square of its parts, until processes ended.
+    deployment = start_deployment(**{"max-header-bytes": MAX_HEADER_BYTES})
+    deployment.start_crowd("many-parts", 4, "/sized/", "POST")
+    check(deployment)
+
+
 def test_callers_that_leave_at_once(deployment):
     deployment.start_crowd("leave", 60)
     check(deployment)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -17,6 +17,7 @@
     PrefixCache,
     StreamLengths,
     choose_urgency,
+    list_prefixes,
 )
 from merlinnotch._placement.backlog import PrefillBacklog
 from merlinnotch.platform.headers import PromptPart, RequestHeaders
@@ -47,31 +48,33 @@
     request = PlacementRequest(
         prompt(("sys", 500), ("doc", 5000), ("own", 100)), "small"
     )
-    loads.get(candidates[2]).cache.record("small", request.prompt[:2])
+    loads.get(candidates[2]).cache.record(request.prefixes[:2])
     assert placer.pick(candidates, request, 0.0) is candidates[2]
 
 
 def test_prefix_cache_is_separate_by_model(placer, loads):
     cache = PrefixCache(100_000)
     parts = prompt(("a", 100), ("b", 200))
-    cache.record("small", parts)
-    assert cache.count_uncached("small", parts) == 0
-    assert cache.count_uncached("large", parts) == 300
+    cache.record(list_prefixes("small", parts))
+    assert cache.count_uncached(list_prefixes("small", parts)) == 0
+    assert cache.count_uncached(list_prefixes("large", parts)) == 300
 
 
 def test_part_is_cached_only_with_its_prefix():
     cache = PrefixCache(100_000)
-    cache.record("m", prompt(("a", 100), ("b", 200)))
-    assert cache.count_uncached("m", prompt(("x", 50), ("b", 200))) == 250
-    assert cache.count_uncached("m", prompt(("a", 100), ("c", 70))) == 70
+    cache.record(list_prefixes("m", prompt(("a", 100), ("b", 200))))
+    assert (
+        cache.count_uncached(list_prefixes("m", prompt(("x", 50), ("b", 200)))) == 250
+    )
+    assert cache.count_uncached(list_prefixes("m", prompt(("a", 100), ("c", 70)))) == 70
 
 
 def test_prefix_cache_evicts_the_oldest_beyond_its_capacity():
     cache = PrefixCache(1000)
-    cache.record("m", prompt(("a", 600)))
-    cache.record("m", prompt(("b", 600)))
-    assert cache.count_uncached("m", prompt(("a", 600))) == 600
-    assert cache.count_uncached("m", prompt(("b", 600))) == 0
+    cache.record(list_prefixes("m", prompt(("a", 600))))
+    cache.record(list_prefixes("m", prompt(("b", 600))))
+    assert cache.count_uncached(list_prefixes("m", prompt(("a", 600)))) == 600
+    assert cache.count_uncached(list_prefixes("m", prompt(("b", 600)))) == 0
 
 
 def test_instances_send_a_new_shared_prompt_to_the_same_upstream():
@@ -107,7 +110,7 @@
 def test_full_batch_is_avoided_despite_a_cached_prompt(placer, loads):
     candidates = [make_upstream("u1", slots=12), make_upstream("u2", slots=12)]
     request = PlacementRequest(prompt(("own", 2000)), "small")
-    loads.get(candidates[0]).cache.record("small", request.prompt)
+    loads.get(candidates[0]).cache.record(request.prefixes)
     loads.get(candidates[0]).record_report(12, 0, 0.0)
     loads.get(candidates[1]).record_report(3, 0, 0.0)
     assert placer.pick(candidates, request, 0.1) is candidates[1]
