Headers of requests: figures out of range are malformed

What callers saw: 500 in place of 400 for `Last-Event-Id: inf` or `nan`, and 500 for a prompt part of 5,000 digits. A part of 400 digits was taken, and failed where its prefill time is estimated; a deadline that isn't a number was taken as well.

Cause: float() takes "nan" and "inf", int() takes figures that no float holds and raises a plain ValueError from 4,300 digits on.

Fix: numbers are finite, counts of tokens have at most nine digits, event ids are exact as floats. The tests in tests/platform/test_headers.py: 10 failed before, all pass.

--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -46,6 +46,10 @@
 MAX_LIMIT_PER_S = 10_000.0
 _NUMBER = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 _LOAD = re.compile(r"[0-9]{1,9}(,[0-9]{1,9}){2,}")
+_TOKEN_COUNT = re.compile(r"[0-9]{1,9}")
+"""The sum of all counts in one head is exact as a float."""
+MAX_EVENT_ID = 10**15
+"""Larger ids aren't exact as floats."""
 USUAL_PACE = 100
 """The fourth figure of a load report if work takes as long as usual."""
 DOUBTFUL_LEAVING_S = 5.0
@@ -179,7 +183,8 @@
 def decode_request(fields):
     """Return the :class:`RequestHeaders` of a request's header fields.
 
-    Raises :class:`MalformedMessage` if the id is missing or a number is invalid.
+    Raises :class:`MalformedMessage` if the id is missing, or a number is invalid or out
+    of range.
     """
     attempt_id = fields.get(_ATTEMPT_ID)
     if not attempt_id:
@@ -188,6 +193,8 @@
     model = fields.get(_MODEL)
     counts = _parse_counts(fields.get(_TOKEN_COUNTS))
     last_event = _parse_number(fields, _LAST_EVENT)
+    if last_event is not None and abs(last_event) > MAX_EVENT_ID:
+        raise MalformedMessage(f"{_LAST_EVENT} is out of range")
     return RequestHeaders(
         attempt_id=attempt_id,
         api_key=fields.get(_API_KEY),
@@ -330,9 +337,12 @@
     if text is None:
         return None
     try:
-        return float(text)
+        number = float(text)
     except ValueError as error:
         raise MalformedMessage(f"{name} is not a number") from error
+    if not math.isfinite(number):
+        raise MalformedMessage(f"{name} is not a finite number")
+    return number
 
 
 def _decode_load(text):
@@ -353,17 +363,23 @@
 def _parse_counts(text):
     if not text:
         return (0, 0)
-    try:
-        counts = tuple(int(part) for part in text.split(","))
-    except ValueError as error:
-        raise MalformedMessage("counts are not integers") from error
+    counts = tuple(_parse_token_count(part) for part in text.split(","))
+    if None in counts:
+        raise MalformedMessage("token counts are not integers of at most nine digits")
     return counts if len(counts) == 2 else (0, 0)
 
 
+def _parse_token_count(text):
+    """Return a count of tokens, or None if *text* is not one."""
+    text = text.strip()
+    return int(text) if _TOKEN_COUNT.fullmatch(text) else None
+
+
 def _parse_prompt(text):
     parts = []
     for entry in (text or "").split(","):
-        part_id, colon, tokens = entry.strip().rpartition(":")
-        if colon and tokens.isdecimal():
-            parts.append(PromptPart(part_id, int(tokens)))
+        part_id, colon, text = entry.strip().rpartition(":")
+        tokens = _parse_token_count(text)
+        if colon and tokens is not None:
+            parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -41,6 +41,16 @@
     assert [part.id for part in decode_request(Fields(pairs)).prompt] == ["91bd"]
 
 
+@pytest.mark.parametrize("digits", [10, 400, 5000])
+def test_prompt_parts_with_a_count_out_of_range_are_ignored(digits):
+    # Their requests ended with 500.
+    pairs = [
+        ("x-attempt-id", "a"),
+        ("x-prompt-prefix", f"5c1e:{'9' * digits},91bd:410"),
+    ]
+    assert [part.id for part in decode_request(Fields(pairs)).prompt] == ["91bd"]
+
+
 @pytest.mark.parametrize(
     "pairs",
     [
@@ -48,6 +58,13 @@
         [("x-attempt-id", "a"), ("x-deadline-ms", "soon")],
         [("x-attempt-id", "a"), ("x-token-counts", "a,b")],
         [("x-attempt-id", "a"), ("last-event-id", "x")],
+        [("x-attempt-id", "a"), ("last-event-id", "nan")],
+        [("x-attempt-id", "a"), ("last-event-id", "inf")],
+        [("x-attempt-id", "a"), ("last-event-id", "1e300")],
+        [("x-attempt-id", "a"), ("x-deadline-ms", "nan")],
+        [("x-attempt-id", "a"), ("x-deadline-ms", "1e400")],
+        [("x-attempt-id", "a"), ("x-token-counts", "1460,-80")],
+        [("x-attempt-id", "a"), ("x-token-counts", "9" * 400 + ",80")],
     ],
 )
 def test_invalid_request_fields_are_malformed(pairs):
