Headers of requests: parts in the middle of very long prompts are merged

A request in progress held some 150 bytes for each prompt part, 344 KB for a head of 14.6 KB with 2,300 parts (by tracemalloc), and 5,000 parts fit in a head. Of more than 128 parts those in the middle are one part now, so that a request holds a bounded amount and the time of each estimate is bounded too.

The test failed before (2,300 parts kept).

--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the platform's header fields."""
 
+import hashlib
 import math
 import re
 from dataclasses import dataclass
@@ -48,6 +49,10 @@
 _LOAD = re.compile(r"[0-9]{1,9}(,[0-9]{1,9}){2,}")
 _TOKEN_COUNT = re.compile(r"[0-9]{1,9}")
 """The sum of all counts in one head is exact as a float."""
+MAX_PROMPT_PARTS = 128
+"""Limit on the parts of a prompt that are told apart. An object for each of the
+thousands that a head may hold would take many times the size of the head."""
+MERGED_ID_BYTES = 16
 MAX_EVENT_ID = 10**15
 """Larger ids aren't exact as floats."""
 USUAL_PACE = 100
@@ -382,4 +387,21 @@
         tokens = _parse_token_count(text)
         if colon and tokens is not None:
             parts.append(PromptPart(part_id, tokens))
-    return tuple(parts)
+    return tuple(_merge_middle(parts))
+
+
+def _merge_middle(parts):
+    """Return at most MAX_PROMPT_PARTS parts, those in the middle merged into one.
+
+    Both ends are kept: prompts share their first parts, and the last one is the
+    request's own.
+    """
+    if len(parts) <= MAX_PROMPT_PARTS:
+        return parts
+    first_count = MAX_PROMPT_PARTS // 2
+    last_count = MAX_PROMPT_PARTS - first_count - 1
+    middle = parts[first_count:-last_count]
+    ids = ",".join(part.id for part in middle).encode("latin-1", "replace")
+    digest = hashlib.blake2b(ids, digest_size=MERGED_ID_BYTES).hexdigest()
+    merged = PromptPart(digest, sum(part.tokens for part in middle))
+    return [*parts[:first_count], merged, *parts[-last_count:]]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -10,6 +10,7 @@
     encode_request,
     was_not_executed,
 )
+from merlinnotch.platform.headers import MAX_PROMPT_PARTS
 
 
 def test_request_fields_are_decoded():
@@ -41,6 +42,31 @@
     assert [part.id for part in decode_request(Fields(pairs)).prompt] == ["91bd"]
 
 
+def decode_prompt(ids):
+    text = ",".join(f"{part_id}:2" for part_id in ids)
+    return decode_request(
+        Fields([("x-attempt-id", "a"), ("x-prompt-prefix", text)])
+    ).prompt
+
+
+def test_middle_of_a_prompt_with_many_parts_is_merged():
+    # Each part of a request in progress took many times its bytes in the head.
+    ids = [f"{n:x}" for n in range(2300)]
+    prompt = decode_prompt(ids)
+    kept = [part.id for part in prompt]
+    assert len(prompt) <= MAX_PROMPT_PARTS
+    assert (kept[:60], kept[-60:]) == (ids[:60], ids[-60:])
+    assert sum(part.tokens for part in prompt) == 2 * len(ids)
+    assert decode_prompt(ids) == prompt
+    assert decode_prompt([*ids[:1000], "other", *ids[1001:]]) != prompt
+
+
+@pytest.mark.parametrize("count", [1, MAX_PROMPT_PARTS])
+def test_parts_of_usual_prompts_are_not_merged(count):
+    ids = [f"{n:x}" for n in range(count)]
+    assert [part.id for part in decode_prompt(ids)] == ids
+
+
 @pytest.mark.parametrize("digits", [10, 400, 5000])
 def test_prompt_parts_with_a_count_out_of_range_are_ignored(digits):
     # Their requests ended with 500.
