Upstreams: a response that is reset during the upload is not complete

Cause: the upload is written by a task of its own, and the kernel reports a socket's error once. Where the write took it, the read saw only the end of the stream, and without a length that is the end of the body. The comment that the reader gets the same error was wrong.

Fix: a failed write is kept, as its text, and the end of the stream after it breaks the exchange. A connection that ends properly while the upload goes on still ends its response. All that is read from such connections goes through the same place: bodies, streams, skipped responses, relays, replies of the store, probes.

--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -107,6 +107,7 @@
         self._protocol = make_protocol()
         self._request = None
         self._send_thread = None
+        self._send_failure = None
         self._must_close = False
         self._build_abort_error = None
         self.exchange_count = 0
@@ -275,8 +276,9 @@
     def _send_in_background(self, data, deadline):
         try:
             send(self._sock, data, deadline - self._read_clock())
-        except ConnectionBroken:
-            # The reader gets the same error and reports it.
+        except ConnectionBroken as error:
+            # Not the error itself, which would hold *data* as long as the connection.
+            self._send_failure = str(error)
             self._must_close = True
 
     def _next_event(self, deadline):
@@ -294,9 +296,21 @@
             self._turn_events = 0
             if self._build_abort_error is not None:
                 raise self._build_abort_error()
-            self._must_close = self._must_close or not data
+            if not data:
+                self._check_end()
             self._protocol.receive_data(data)
 
+    def _check_end(self):
+        """Handle the end of the stream, which may be the end of a response.
+
+        Raises :class:`ConnectionBroken` if the request couldn't be written. The kernel
+        reports a reset once: reads that follow a failed write see only the end of the
+        stream, which would make a response without length look complete.
+        """
+        self._must_close = True
+        if self._send_failure is not None:
+            raise ConnectionBroken(f"broken off: {self._send_failure}")
+
     def _reads_body_at_once(self):
         """Whether the rest of a body is read without waits for a caller."""
         is_body = self._protocol.their_state is h11.SEND_BODY
--- a/tests/gateway/test_early_responses.py
+++ b/tests/gateway/test_early_responses.py
@@ -7,7 +7,14 @@
 import pytest
 from eventlet.green import socket
 
-from tests.platform_world import ONCE_PATH, Caller, make_configuration, wait_until
+from tests.platform_world import (
+    ONCE_PATH,
+    PLAIN_PATH,
+    STREAM_PATH,
+    Caller,
+    make_configuration,
+    wait_until,
+)
 
 SEED = 7
 REQUEST_COUNT = 12
@@ -153,6 +160,51 @@
             assert body == make_body(sent_sizes[attempt_id])
 
 
+class ResettingUpstream(EarlyUpstream):
+    """Responds without a length to a part of a request, and resets the connection."""
+
+    def _serve(self, sock):
+        try:
+            head, _ = self._read_head(sock, b"")
+            attempt_id = re.search(rb"x-attempt-id: (\S+)", head).group(1).decode()
+            sock.sendall(self._respond(attempt_id))
+            # The response arrives while the rest of the body is being written.
+            eventlet.sleep(PAUSE_S * 10)
+        finally:
+            # Unread bytes make the kernel reset the connection.
+            sock.close()
+
+
+def make_part(attempt_id):
+    """Return a response without a length, of which more would follow."""
+    response = make_response(200, attempt_id)
+    return response.replace(b"content-length: 4\r\n", b"")
+
+
+def make_stream_part(attempt_id):
+    return make_part(attempt_id).removesuffix(b"body") + b"id: 1\ndata: a\n\n"
+
+
+@pytest.mark.parametrize(
+    ("path", "respond"),
+    [
+        (PLAIN_PATH, make_part),
+        (ONCE_PATH, make_part),
+        (STREAM_PATH, make_stream_part),
+    ],
+)
+def test_response_that_is_reset_during_the_upload_is_not_complete(world, path, respond):
+    # Half of the callers got the part of the response as a complete one.
+    upstream = ResettingUpstream(respond)
+    service = "engines" if path == STREAM_PATH else "app"
+    world.list_upstream("i-1", service, upstream.address)
+    caller = start_caller(world)
+    for _ in range(REQUEST_COUNT):
+        response = caller.send(path, "POST", make_body(BODY_SIZES[-1]))
+        assert response.status != 200 or not response.is_complete
+    upstream.close()
+
+
 def make_malformed_response(attempt_id):
     return make_response(200, attempt_id, "x-confidence: none")
 
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -161,6 +161,54 @@
     listener.close()
 
 
+LONG_BODY = b"x" * (8 << 20)
+
+
+def serve_part(listener, is_reset):
+    """Respond before the body has been read, without a length, and end."""
+    sock, _ = listener.accept()
+    sock.recv(1000)
+    sock.sendall(b"HTTP/1.1 200 X\r\n\r\nhalf of")
+    eventlet.sleep(0.05)
+    if is_reset:
+        # Unread bytes make the kernel reset the connection.
+        sock.close()
+        return
+    sock.shutdown(socket.SHUT_WR)
+    eventlet.sleep(5)
+
+
+@pytest.fixture
+def connect_to_part():
+    """Return a function that connects to a new server with :func:`serve_part`."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def connect_to_part(is_reset):
+        eventlet.spawn(serve_part, listener, is_reset)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        return UpstreamConnection(address, read_clock, 1.0)
+
+    yield connect_to_part
+    listener.close()
+
+
+def test_response_that_is_reset_during_the_upload_raises(connect_to_part):
+    # The write took the error, and the read the end of a response without length.
+    connection = connect_to_part(is_reset=True)
+    deadline = read_clock() + 5.0
+    connection.send_request("POST", "/", [("host", "h")], LONG_BODY, deadline)
+    eventlet.sleep(0.3)
+    connection.read_head(deadline)
+    with pytest.raises(ConnectionBroken):
+        connection.read_body(deadline, 1 << 20)
+
+
+def test_response_that_ends_during_the_upload_is_complete(connect_to_part):
+    connection = connect_to_part(is_reset=False)
+    assert exchange(connection, 5.0, LONG_BODY)[1] == b"half of"
+    connection.close()
+
+
 def test_abort_of_a_response_without_length_raises(start_upstream):
     def script(request, write):
         write(b"HTTP/1.1 200 X\r\n\r\nhalf of")
