--- a/src/merlinnotch/_upstreams/connections.py
+++ b/src/merlinnotch/_upstreams/connections.py
@@ -9,21 +9,34 @@
     """A green socket whose reads raise :class:`ConnectionResetError`.
 
     :class:`GreenSocket` reports a reset as the end of the stream, which makes a
-    truncated response without a length look complete.
+    truncated response without a length look complete. So does the kernel once a write
+    has taken the error, which urllib3 ignores, to read a response that came early.
     """
 
     def __init__(self, sock):
         super().__init__(sock.fd)
         # The finalizer of *sock* closes the descriptor.
         self._replaced_sock = sock
+        self._write_failed = False
         self.settimeout(sock.gettimeout())
 
+    def sendall(self, data, flags=0):
+        try:
+            super().sendall(data, flags)
+        except OSError:
+            self._write_failed = True
+            raise
+
     def recv_into(self, buffer, nbytes=0, flags=0):
         while True:
             try:
-                return self.fd.recv_into(buffer, nbytes, flags)
+                size = self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
                 self._wait_until_readable()
+                continue
+            if size == 0 and self._write_failed:
+                raise ConnectionResetError("connection ended after a failed write")
+            return size
 
     def _wait_until_readable(self):
         trampoline(
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -15,22 +15,28 @@
 from merlinnotch._upstreams.failure import AttemptFailed, FailureReason
 
 UNFRAMED = b"HTTP/1.1 200 X\r\nX-Request-Id: id-1\r\nConnection: close\r\n\r\nhalf"
+LONG_BODY_BYTES = 20_000_000
+"""More than the buffers of both sockets take."""
 PAUSE_S = 0.05
 """Lets the client read what was sent before the connection is reset."""
 
 
 class ClosingServer:
-    """Sends UNFRAMED to each connection, then closes or resets it."""
+    """Sends UNFRAMED to each connection, then closes or resets it.
 
-    def __init__(self, resets):
+    It reads at most *read_bytes* of a request before.
+    """
+
+    def __init__(self, resets, read_bytes=65536):
         self._resets = resets
+        self._read_bytes = read_bytes
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         eventlet.spawn_n(self._serve)
 
     def _serve(self):
         sock, _ = self._listener.accept()
-        sock.recv(65536)
+        sock.recv(self._read_bytes)
         sock.sendall(UNFRAMED)
         eventlet.sleep(PAUSE_S)
         if self._resets:
@@ -75,6 +81,18 @@
     assert caught.value.reason is FailureReason.BROKEN
 
 
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_response_that_is_reset_during_the_upload_is_broken(
+    call_service, call, is_idempotent
+):
+    # The write took the error, and the read the end of a response without length.
+    call.body = bytes(LONG_BODY_BYTES)
+    call.idempotent = is_idempotent
+    with pytest.raises(AttemptFailed) as caught:
+        call_service(ClosingServer(resets=True, read_bytes=1000).address)
+    assert caught.value.reason is FailureReason.BROKEN
+
+
 def test_closed_response_without_length_is_complete(call_service):
     _, body = call_service(ClosingServer(resets=False).address)
     assert body == b"half"
