Upstreams: a response with a status above 599 is malformed

What callers saw (MIXED): a status of 600 to 999 was passed on as an answer. RFC 9110, section 15, calls it invalid. Statuses 000 to 099 and names of fields with blanks or control bytes were refused before, by h11; the test has them now, with lengths that aren't plain numbers.

--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -31,6 +31,7 @@
 """Up to this size, a request is written before its response is read. A larger one is
 written in the background, as an upstream may respond before it has read it."""
 MAX_HEAD_BYTES = 65536
+MAX_STATUS = 599
 MIN_BODY_S = 2.0
 """Time that a long body may take however few bytes arrive."""
 MIN_BYTES_PER_S = 16384
@@ -153,6 +154,9 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionBroken("connection closed before the response head")
+            if event.status_code > MAX_STATUS:
+                # RFC 9110, section 15: such a status is invalid.
+                raise ConnectionBroken(f"malformed response: {event.status_code}")
             fields = Fields.decode(event.headers)
             self._apply_connection_fields(fields)
             return ResponseHead(event.status_code, fields)
--- a/tests/http/test_upstream.py
+++ b/tests/http/test_upstream.py
@@ -63,6 +63,44 @@
         exchange(connection)
 
 
+MALFORMED_HEADS = [
+    pytest.param(f"HTTP/1.1 {status} X\r\n".encode(), id=status)
+    for status in ("000", "001", "099", "600", "999", "2000", "20", "-20")
+] + [
+    pytest.param(b"HTTP/1.1 200 X\r\n" + line + b"\r\n", id=repr(line))
+    for line in (
+        b"a b: 1",
+        b"a\tb: 1",
+        b"a : 1",
+        b"a\x01b: 1",
+        b"a\x7fb: 1",
+        b"a\x00b: 1",
+        b"a\xa0b: 1",
+        b"a[b: 1",
+        b": 1",
+        b"nothing",
+        b"a: b\x00c",
+        b"a: b\rcontent-length: 1",
+        b"content-length: +4",
+        b"content-length: 0x4",
+        b"content-length: 5",
+        b"transfer-encoding: gzip, chunked",
+    )
+]
+
+
+@pytest.mark.parametrize("head", MALFORMED_HEADS)
+def test_response_with_a_malformed_head_raises(start_upstream, head):
+    # Some reached callers as responses.
+    def script(request, write):
+        write(head + b"content-length: 4\r\n\r\nbody")
+        return True
+
+    connection = UpstreamConnection(start_upstream(script).address, read_clock, 1.0)
+    with pytest.raises(ConnectionBroken):
+        exchange(connection)
+
+
 def test_silent_upstream_is_given_up_at_the_deadline(start_upstream):
     connection = UpstreamConnection(start_upstream(hang).address, read_clock, 1.0)
     started_at = read_clock()
