--- a/tests/upstreams/test_repeats.py
+++ b/tests/upstreams/test_repeats.py
@@ -30,17 +30,15 @@
         self._body = body
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        eventlet.spawn_n(self._accept)
+        self._thread = eventlet.spawn(self._accept)
 
     def close(self):
+        self._thread.kill()
         self._listener.close()
 
     def _accept(self):
         while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
+            sock, _ = self._listener.accept()
             eventlet.spawn_n(self._serve, sock)
 
     def _serve(self, sock):
