Other front door: a response with a malformed head is no response

Cause: http.client reads heads like mail, stops at the first line that it doesn't know, and takes the end of the connection for the end of the head.

Fix: what it reads goes through a checker of each line of a head (_pooled_http/response.py), and lengths and codings have to be unambiguous. The clients of plain services, engines, the store, ratings, loads, the directory and orders all use it.

--- a/src/merlinnotch/_control/orderer.py
+++ b/src/merlinnotch/_control/orderer.py
@@ -10,6 +10,7 @@
 from .._errors import StoreConflict
 from .._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
 from .._peers import get_highest_ranked
+from .._pooled_http import make_pool_manager
 from .._store import ABSENT
 from .._store.keys import ORDERS_PREFIX
 
@@ -52,7 +53,7 @@
         self._lease = OrderLease()
         self._lease_id = None
         self._sent_at = {}
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._http = make_pool_manager(maxsize=1, retries=False)
 
     @property
     def fence(self):
--- a/src/merlinnotch/_upstreams/connections.py
+++ b/src/merlinnotch/_pooled_http/connections.py
@@ -1,9 +1,11 @@
-"""Connections whose read timeout can be changed while a response is read."""
+"""Connections that check responses, and whose read timeout can be changed."""
 
 import urllib3
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
 
+from .response import CheckedResponse
+
 
 class ResetAwareSocket(GreenSocket):
     """A green socket whose reads raise :class:`ConnectionResetError`.
@@ -54,6 +56,7 @@
     connection closes, although the body is still to be read.
     """
 
+    response_class = CheckedResponse
     response_sock = None
 
     def getresponse(self):
--- a/src/merlinnotch/_store/http.py
+++ b/src/merlinnotch/_store/http.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from .._errors import StoreConflict, StoreUnavailable
+from .._pooled_http import make_pool_manager
 from .base import KeyValueStore
 from .item import Changes, Item, Listing
 
@@ -37,7 +38,7 @@
         self._addresses = itertools.cycle(addresses)
         self._address = next(self._addresses)
         source_address = (source_ip, 0) if source_ip else None
-        self._http = urllib3.PoolManager(
+        self._http = make_pool_manager(
             maxsize=64, retries=False, source_address=source_address
         )
 
--- a/src/merlinnotch/_upstreams/client.py
+++ b/src/merlinnotch/_upstreams/client.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from .connections import make_pool_manager, set_read_timeout
+from .._pooled_http import make_pool_manager, set_read_timeout
 from .failure import AttemptFailed, FailureReason
 from .parts import PART_BYTES, limit_parts, read_parts
 from .silence import MIN_LIMIT_S, SilenceLimiter
--- a/src/merlinnotch/_upstreams/directory.py
+++ b/src/merlinnotch/_upstreams/directory.py
@@ -9,6 +9,7 @@
 from .._errors import MerlinnotchError
 from .._links.link import PeerUnreachable
 from .._peers import FetchListing, ListedUpstream, ListingReply
+from .._pooled_http import make_pool_manager
 
 LIST_PATH = "/v1/health/service/upstream"
 TIMEOUT_S = 1.0
@@ -33,7 +34,7 @@
         self._membership = membership
         peers.handlers[FetchListing] = self._handle_fetch_listing
         self._url = f"http://{settings.platform_address}{LIST_PATH}"
-        self._http = urllib3.PoolManager(maxsize=1, retries=False)
+        self._http = make_pool_manager(maxsize=1, retries=False)
         self._table = table
 
     def run_once(self):
--- a/src/merlinnotch/_upstreams/loads.py
+++ b/src/merlinnotch/_upstreams/loads.py
@@ -9,6 +9,7 @@
 from .._daemon.task import Task
 from .._links.gossiper import LOAD, VERSIONS
 from .._peers import LoadedVersions, LoadReport, get_highest_ranked
+from .._pooled_http import make_pool_manager
 from .client import releasing_connection
 
 LOAD_PATH = "/load"
@@ -42,7 +43,7 @@
         self._metrics = metrics
         self._on_change = on_change
         self._notices = notices
-        self._http = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
+        self._http = make_pool_manager(num_pools=256, maxsize=1, retries=False)
         self._pending_ids = set()
         self._zone_upstream_count = 0
         gossiper.add_listener(LOAD, self._handle_load)
--- a/src/merlinnotch/_upstreams/ratings.py
+++ b/src/merlinnotch/_upstreams/ratings.py
@@ -9,6 +9,7 @@
 from .._daemon.task import Task
 from .._errors import MerlinnotchError
 from .._peers import Tally
+from .._pooled_http import make_pool_manager
 
 logger = logging.getLogger("merlinnotch")
 
@@ -44,7 +45,7 @@
         self._instance = settings.instance
         self._tallies = tallies
         self._get_target = get_target
-        self._http = urllib3.PoolManager(maxsize=32, retries=False)
+        self._http = make_pool_manager(maxsize=32, retries=False)
         self._queued_answers = []
         self._last_sequence = 0
         # Ratings of answers from before a restart may still arrive.
