Other front door: responses without end are given up everywhere

What an operator of such a system saw: a faulty server sent bytes without end, its client kept them all and ran out of memory, and the requests of other clients ended with it. Here the gateway held; at the other front door the clients of the store, the directory, the rating service, loads and orders read whole responses without a limit.

--- a/src/merlinnotch/_control/orderer.py
+++ b/src/merlinnotch/_control/orderer.py
@@ -10,7 +10,7 @@
 from .._errors import StoreConflict
 from .._orders import LEASE_TTL_S, LeaseHolder, OrderLease, plan_orders
 from .._peers import get_highest_ranked
-from .._pooled_http import make_pool_manager
+from .._pooled_http import make_pool_manager, send_call
 from .._store import ABSENT
 from .._store.keys import ORDERS_PREFIX
 
@@ -22,6 +22,7 @@
 """Time for an upstream to report the ordered versions before an order is sent again."""
 
 MAX_REQUEST_TIMEOUT_S = 2.0
+MAX_REPLY_BYTES = 65536
 
 
 class Orderer(Task):
@@ -149,8 +150,8 @@
         timeout_s = min(MAX_REQUEST_TIMEOUT_S, self._lease.get_remaining_s(now))
         url = f"http://{upstream.listed.address}{ORDERS_PATH}"
         try:
-            reply = self._http.request(
-                "PUT", url, body=json.dumps(body), timeout=timeout_s
+            reply = send_call(
+                self._http, "PUT", url, timeout_s, MAX_REPLY_BYTES, json.dumps(body)
             )
         except urllib3.exceptions.HTTPError:
             self._metrics.orders.labels("unanswered").inc()
--- a/src/merlinnotch/_pooled_http/connections.py
+++ b/src/merlinnotch/_pooled_http/connections.py
@@ -1,5 +1,8 @@
 """Connections that check responses, and whose read timeout can be changed."""
 
+import contextlib
+import time
+
 import urllib3
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
@@ -20,6 +23,7 @@
         # The finalizer of *sock* closes the descriptor.
         self._replaced_sock = sock
         self._write_failed = False
+        self._reads_end_at = None
         self.settimeout(sock.gettimeout())
 
     def sendall(self, data, flags=0):
@@ -29,6 +33,16 @@
             self._write_failed = True
             raise
 
+    @contextlib.contextmanager
+    def limiting_reads(self):
+        """Let all reads together take no longer than the timeout of each."""
+        if self.gettimeout() is not None:
+            self._reads_end_at = time.monotonic() + self.gettimeout()
+        try:
+            yield
+        finally:
+            self._reads_end_at = None
+
     def recv_into(self, buffer, nbytes=0, flags=0):
         while True:
             try:
@@ -44,10 +58,18 @@
         trampoline(
             self.fd,
             read=True,
-            timeout=self.gettimeout(),
+            timeout=self._get_wait_s(),
             timeout_exc=TimeoutError("timed out"),
         )
 
+    def _get_wait_s(self):
+        if self._reads_end_at is None:
+            return self.gettimeout()
+        wait_s = self._reads_end_at - time.monotonic()
+        if wait_s <= 0.0:
+            raise TimeoutError("timed out")
+        return wait_s
+
 
 class Connection(urllib3.connection.HTTPConnection):
     """Keeps the socket of its last response.
@@ -61,7 +83,11 @@
 
     def getresponse(self):
         self.response_sock = self.sock
-        return super().getresponse()
+        if not isinstance(self.sock, ResetAwareSocket):
+            return super().getresponse()
+        # A head that trickles would keep its caller beyond the timeout.
+        with self.sock.limiting_reads():
+            return super().getresponse()
 
     def _new_conn(self):
         sock = super()._new_conn()
--- a/src/merlinnotch/_store/http.py
+++ b/src/merlinnotch/_store/http.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from .._errors import StoreConflict, StoreUnavailable
-from .._pooled_http import make_pool_manager
+from .._pooled_http import make_pool_manager, send_call
 from .base import KeyValueStore
 from .item import Changes, Item, Listing
 
@@ -19,6 +19,8 @@
 HTTP_NOT_FOUND = 404
 INDEX_HEADER = "X-Consul-Index"
 WATCH_GRACE_S = 2.0
+MAX_REPLY_BYTES = 64 << 20
+"""A listing holds all values of a prefix, each of up to a megabyte."""
 
 
 class HttpStore(KeyValueStore):
@@ -142,12 +144,8 @@
 
     def _send(self, method, path, body, timeout_s):
         try:
-            return self._http.request(
-                method,
-                f"http://{self._address}{path}",
-                body=body,
-                timeout=urllib3.Timeout(total=timeout_s),
-            )
+            url = f"http://{self._address}{path}"
+            return send_call(self._http, method, url, timeout_s, MAX_REPLY_BYTES, body)
         except urllib3.exceptions.HTTPError as error:
             self._address = next(self._addresses)
             raise StoreUnavailable(str(error)) from error
--- a/src/merlinnotch/_upstreams/directory.py
+++ b/src/merlinnotch/_upstreams/directory.py
@@ -9,10 +9,12 @@
 from .._errors import MerlinnotchError
 from .._links.link import PeerUnreachable
 from .._peers import FetchListing, ListedUpstream, ListingReply
-from .._pooled_http import make_pool_manager
+from .._pooled_http import make_pool_manager, send_call
 
 LIST_PATH = "/v1/health/service/upstream"
 TIMEOUT_S = 1.0
+MAX_LISTING_BYTES = 16 << 20
+"""Some kilobytes for each of thousands of upstreams."""
 MAX_PEERS_QUERIED = 2
 
 
@@ -50,7 +52,9 @@
 
     def _fetch_listing(self):
         try:
-            reply = self._http.request("GET", self._url, timeout=TIMEOUT_S)
+            reply = send_call(
+                self._http, "GET", self._url, TIMEOUT_S, MAX_LISTING_BYTES
+            )
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(str(error)) from error
         if reply.status != 200:
--- a/src/merlinnotch/_upstreams/loads.py
+++ b/src/merlinnotch/_upstreams/loads.py
@@ -9,11 +9,13 @@
 from .._daemon.task import Task
 from .._links.gossiper import LOAD, VERSIONS
 from .._peers import LoadedVersions, LoadReport, get_highest_ranked
-from .._pooled_http import make_pool_manager
+from .._pooled_http import make_pool_manager, read_body
 from .client import releasing_connection
 
 LOAD_PATH = "/load"
 TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 1 << 20
+"""A report names the versions that the upstream has loaded."""
 LEAVING_STATUS = 410
 MIN_POLL_INTERVAL_S = 0.5
 MAX_REPORTS_PER_S = 20
@@ -92,7 +94,7 @@
             now = time.monotonic()
             notice = self._notices.record(upstream, reply, now)
             self._notices.record_limit(upstream, notice, asked_at, now)
-            data = reply.read()
+            data = read_body(reply, asked_at + TIMEOUT_S, MAX_REPORT_BYTES)
         if reply.status == LEAVING_STATUS:
             self._notices.report_leaving(upstream, now)
         elif reply.status == 200:
--- a/src/merlinnotch/_upstreams/ratings.py
+++ b/src/merlinnotch/_upstreams/ratings.py
@@ -9,7 +9,7 @@
 from .._daemon.task import Task
 from .._errors import MerlinnotchError
 from .._peers import Tally
-from .._pooled_http import make_pool_manager
+from .._pooled_http import make_pool_manager, send_call
 
 logger = logging.getLogger("merlinnotch")
 
@@ -18,6 +18,8 @@
 TIMEOUT_S = 1.0
 RATING_WAIT_S = 0.05
 RATING_TIMEOUT_S = 0.15
+MAX_REPLY_BYTES = 4 << 20
+"""Some hundred bytes for each of thousands of ratings."""
 MAX_QUEUED_ANSWERS = 500
 MAX_PROMPT_CHARS = 4000
 POLL_DURATION_S = 120.0
@@ -121,8 +123,8 @@
         url = f"http://{self._address}{path}"
         headers = {"Content-Type": "application/json"}
         try:
-            reply = self._http.request(
-                method, url, body=body, headers=headers, timeout=timeout_s
+            reply = send_call(
+                self._http, method, url, timeout_s, MAX_REPLY_BYTES, body, headers
             )
             if reply.status not in SUCCESS_STATUSES:
                 raise RatingsUnavailable(f"status {reply.status}")
