Other front door: requests that a shutdown can't wait for are answered

Here the gateway held; the other front door (EntryInstance.shut_down) refused nothing and cut what was left at `shutdown_s`.

Fix: half a second before that each task in progress gets a refusal in place of what it waits for, so that its caller learns what is known: not run, or outcome unknown. From the end of the drain time on, requests with a later deadline are refused at once. Answers that are being written go on.

--- a/src/merlinnotch/_callers/app.py
+++ b/src/merlinnotch/_callers/app.py
@@ -14,6 +14,7 @@
 from .._limits import jitter_retry_after, spread_retry_after
 from .._sessions import Session
 from .parsing import HOLDING_KEY, PART_BYTES
+from .running import RunningRequests
 
 logger = logging.getLogger("merlinnotch")
 
@@ -50,10 +51,27 @@
         self._parser = parser
         self._chat = chat
         self._services = services
+        self._running = RunningRequests()
+        self._ends_at = math.inf
+
+    def refuse_longer_than(self, until):
+        """Refuse requests from now on whose deadline is later than *until*.
+
+        It is on the monotonic clock. They could not be answered in the time that the
+        instance has left.
+        """
+        self._ends_at = until
+
+    def end_requests(self):
+        """Answer the requests in progress, as the process ends.
+
+        Those whose answer is being written go on.
+        """
+        self._running.interrupt()
 
     def __call__(self, environ, start_response):
         self._state.metrics.in_progress.inc()
-        reply = _Reply(self._state, start_response, environ)
+        reply = _Reply(self._state, start_response, environ, self._running)
         environ[HOLDING_KEY] = reply.holding
         try:
             return reply.track(self._route(environ, reply))
@@ -83,7 +101,7 @@
 
     def _answer_chat(self, environ, reply):
         call = self._parser.parse_chat(environ)
-        reply.call = call
+        self._begin(call, reply)
         self._state.outbox.check_capacity()
         if call.stream:
             return self._stream_chat(call, reply)
@@ -99,10 +117,15 @@
     def _answer_service(self, environ, reply, path):
         name, slash, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
         call = self._parser.parse_service(environ, name, slash + rest or "/")
-        reply.call = call
+        self._begin(call, reply)
         self._state.outbox.check_capacity()
         return reply.answer(self._services.answer(call))
 
+    def _begin(self, call, reply):
+        reply.call = call
+        if call.deadline > self._ends_at:
+            raise RequestRefused(ErrorKind.SHUTTING_DOWN)
+
     def _list_models(self, environ, reply):
         team = self._parser.find_team(environ)
         catalogue = self._state.configurer.tracker.catalogue
@@ -146,12 +169,24 @@
 class _Reply:
     """Starts the response to one request and counts its outcome."""
 
-    def __init__(self, state, start_response, environ):
+    def __init__(self, state, start_response, environ, running):
         self._state = state
         self._start_response = start_response
         self._connection = environ.get(CONNECTION_KEY)
+        self._running = running
+        self._is_complete = False
         self.call = None
         self.holding = self._hold()
+        running.add(self)
+
+    @property
+    def can_be_refused(self):
+        """Whether the request has been read and its answer isn't complete yet.
+
+        While the caller is waited for, nothing can be written.
+        """
+        is_writing = self._connection is not None and self._connection.is_waiting
+        return self.call is not None and not self._is_complete and not is_writing
 
     def _hold(self):
         """Return a :class:`Holding` for the bodies of the request and its response."""
@@ -162,10 +197,16 @@
 
     def track(self, body):
         """Return *body*, wrapped to count as in progress until it is closed."""
-        return _TrackedBody(body, self._state.metrics.in_progress, self.holding)
+        return _TrackedBody(body, self._end)
+
+    def _end(self):
+        self._running.remove(self)
+        self._state.metrics.in_progress.dec()
+        self.holding.release()
 
     def send(self, status, content_type, body, headers=()):
         """Start a response of known length; return its body as a list."""
+        self._is_complete = True
         headers = [
             ("Content-Type", content_type),
             ("Content-Length", str(len(body))),
@@ -211,8 +252,9 @@
         body = json.dumps({"error": build_error_object(refusal)}).encode()
         return self.send(answer.status, JSON_TYPE, body, headers)
 
-    def count_stream_outcome(self, outcome, kind=None):
-        """Count the outcome of a streamed response."""
+    def end_stream(self, outcome, kind=None):
+        """Count the outcome of a streamed response, of which the end is written."""
+        self._is_complete = True
         self._count_outcome(outcome, kind)
 
     def _build_answer_headers(self, version_id):
@@ -261,7 +303,7 @@
                 RequestRefused(ErrorKind.INTERNAL, outcome=Outcome.UNKNOWN)
             )
         else:
-            self._reply.count_stream_outcome(Outcome.ANSWERED)
+            self._reply.end_stream(Outcome.ANSWERED)
             yield b"data: [DONE]\n\n"
 
     def close(self):
@@ -269,7 +311,7 @@
         self._events.close()
 
     def _end_with_error(self, refusal):
-        self._reply.count_stream_outcome(refusal.outcome, refusal.kind)
+        self._reply.end_stream(refusal.outcome, refusal.kind)
         return (
             b"data: "
             + json.dumps({"error": build_error_object(refusal)}).encode()
@@ -278,12 +320,11 @@
 
 
 class _TrackedBody:
-    """A body whose request counts as in progress until the body is closed."""
+    """A body whose request is in progress until it is closed; then calls *on_end*."""
 
-    def __init__(self, body, gauge, holding):
+    def __init__(self, body, on_end):
         self._body = body
-        self._gauge = gauge
-        self._holding = holding
+        self._on_end = on_end
 
     def __iter__(self):
         for data in self._body:
@@ -292,9 +333,8 @@
                 yield data[start : start + PART_BYTES]
 
     def close(self):
-        """Decrement the gauge and close the body; the server calls this once."""
-        self._gauge.dec()
-        self._holding.release()
+        """End the request and close the body; the server calls this once."""
+        self._on_end()
         if hasattr(self._body, "close"):
             self._body.close()
 
--- a/src/merlinnotch/_daemon/instance.py
+++ b/src/merlinnotch/_daemon/instance.py
@@ -43,6 +43,8 @@
 DEFAULT_QUEUE_LIMIT = 256
 DEFAULT_RETRY_RATIO = 0.1
 POLL_INTERVAL_S = 0.05
+MAX_END_S = 0.5
+"""Time for the answers to requests that are ended at a shutdown."""
 USABLE_MEMORY_SHARE = 0.2
 """Share of the process's memory for bodies of requests and responses. Three quarters of
 it hold the longest response at 128 MB, and the process itself takes half of that."""
@@ -156,6 +158,7 @@
             ChatHandler(state, generator, deduplicator),
             ServiceHandler(state, deduplicator),
         )
+        self._app = app
         self._server = CallerServer(self._settings.caller_address, app)
         CallerServer(self._settings.metrics_address, self._respond_to_operator)
         logger.info("started")
@@ -165,7 +168,9 @@
 
         Readiness probes fail at once, while new connections are accepted for the drain
         time, until the load balancer has reacted. Then listening stops, requests that
-        are arriving or in progress end, and bills are posted.
+        are arriving or in progress end, and bills are posted. Requests that would take
+        longer are refused; shortly before the time limit those in progress are answered
+        with what is known of them.
         """
         logger.info("shutting down")
         self.state.leaving = True
@@ -173,7 +178,12 @@
         deadline = time.monotonic() + self._settings.shutdown_s
         eventlet.sleep(self._settings.drain_s)
         self._server.stop_accepting()
-        finished = _wait_until(self._has_ended_requests, deadline)
+        answers_end_at = deadline - min(MAX_END_S, self._settings.shutdown_s / 2)
+        self._app.refuse_longer_than(answers_end_at)
+        finished = _wait_until(self._has_ended_requests, answers_end_at)
+        if not finished:
+            self._app.end_requests()
+            _wait_until(self._has_ended_requests, deadline)
         cut = self._server.count_busy()
         finished = (
             _wait_until(lambda: len(self.state.outbox) == 0, deadline) and finished
--- a/src/merlinnotch/_daemon/server.py
+++ b/src/merlinnotch/_daemon/server.py
@@ -172,6 +172,11 @@
         self._is_waiting = False
         self._is_ended = False
 
+    @property
+    def is_waiting(self):
+        """Whether the caller is waited for within a request or response."""
+        return self._is_waiting
+
     @property
     def is_slow(self):
         """Whether the caller may be disconnected, as others need the connection."""
--- a/tests/callers/test_refusals.py
+++ b/tests/callers/test_refusals.py
@@ -27,7 +27,7 @@
             outbox=types.SimpleNamespace(check_capacity=check_capacity),
             memory=MemoryBudget(0),
         )
-        call = types.SimpleNamespace(request_id="id-1", stream=False)
+        call = types.SimpleNamespace(request_id="id-1", stream=False, deadline=0.0)
         parser = types.SimpleNamespace(parse_chat=lambda environ: call)
         app = CallerApp(state, parser, None, None)
         environ = {"PATH_INFO": "/v1/chat/completions", "REQUEST_METHOD": "POST"}
