Entries of upstreams: figures and names have bounds

Cause: msgspec takes integers of any size; the placer computes with floats (OverflowError). Names of 60,000 letters were taken too, and went into messages and metrics; a port of 5,000 digits raised a plain ValueError.

Fix: bounds at the border for slots, seq, born, names, ids and ports. Such an entry is rejected, the others hold.

--- a/src/merlinnotch/platform/documents.py
+++ b/src/merlinnotch/platform/documents.py
@@ -34,9 +34,14 @@
 MAX_COLD_S = 3600.0
 """Longer cold periods are implausible; their entries are rejected."""
 
-Name = Annotated[str, msgspec.Meta(min_length=1)]
-ID_PATTERN = re.compile(r"[!-~]+")
+MAX_SLOTS = 10**6
+MAX_COUNT = 2**53
+"""Larger figures aren't exact as floats, and even larger ones are none."""
+MAX_NAME_LENGTH = 256
+"""Names go into logs, metrics and the messages of all instances."""
+ID_PATTERN = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
 """Ids are sent in a header field, which allows no other characters."""
+MAX_PORT_DIGITS = 5
 
 
 class _Document(msgspec.Struct, rename="kebab"):
@@ -131,18 +136,18 @@
 class _UpstreamDocument(_Document):
     # All fields except born are required, so that entries of other programs are
     # rejected instead of being taken for upstreams.
-    service: Name
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
     address: str
-    zone: str
-    version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    zone: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # The remaining cold period at the time of writing.
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MS_PER_S * MAX_COLD_S)]
     # The number of orders that the upstream has accepted.
-    seq: Annotated[int, msgspec.Meta(ge=0)]
+    seq: Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
     # The start time in Unix milliseconds; some platforms do not provide it.
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0
 
 
 class _OrderDocument(_Document):
@@ -273,7 +278,9 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    if not (port.isascii() and port.isdigit()) or len(port) > MAX_PORT_DIGITS:
+        return False
+    return 0 < int(port) <= MAX_PORT
 
 
 def _build_service(document):
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -177,6 +177,10 @@
     ),
     FULL | {"state": "asleep"},
     FULL | {"address": "10.0.0.1:99999"},
+    FULL | {"address": f"10.0.0.1:{'0' * 5000}1"},
+    *(FULL | {name: 10**400} for name in ("slots", "cold-left-ms", "seq", "born")),
+    FULL | {"slots": 10**9},
+    *(FULL | {name: "x" * 60_000} for name in ("service", "zone", "version")),
     FULL | {"address": "host:80"},
     [FULL],
     "text",
@@ -184,7 +188,7 @@
 ]
 
 
-@pytest.mark.parametrize("document", INVALID_ENTRIES, ids=str)
+@pytest.mark.parametrize("document", INVALID_ENTRIES, ids=lambda d: str(d)[:300])
 def test_invalid_entry_adds_no_upstream(writer, document):
     writer.put("servers/i-1", upstream())
     writer.put("servers/i-2", document)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -31,6 +31,16 @@
     return sum(len(upstream.requests) for upstream in world.upstreams.values())
 
 
+@pytest.mark.parametrize("path", [PLAIN_PATH, ONCE_PATH, SIZED_PATH])
+def test_odd_figure_in_an_entry_leaves_the_others_in_use(world, caller, path):
+    # Each request to the service failed while the entry was there.
+    script = make_stream_script() if path == SIZED_PATH else make_answer_script()
+    service = "engines" if path == SIZED_PATH else "app"
+    upstream = world.add_upstream("i-1", script, service)
+    world.list_upstream("odd", service, upstream.address, slots=10**400)
+    assert [caller.send(path, "POST").status for _ in range(4)] == [200] * 4
+
+
 def test_request_and_response_are_forwarded_unchanged(world, caller):
     upstream = world.add_upstream(
         "i-1", make_answer_script(b"body\r\n\0", extra=[("x-own", "1")])
