Records of instances: fields of another type are rejected

Cause: the values were decoded without types, and the copy of the store counts as up to date before its changes are applied.

Fix: records are converted to typed structs with bounds at the border. Further fields of later releases are ignored.

--- a/src/merlinnotch/_fleet/records.py
+++ b/src/merlinnotch/_fleet/records.py
@@ -1,6 +1,9 @@
 """Store keys that instances themselves write, and their CBOR values."""
 
+from typing import Annotated
+
 import cbor2
+import msgspec
 
 from .._cbor import decode_cbor
 from .._errors import ConfigurationInvalid
@@ -8,6 +11,30 @@
 from .rollout import Stage
 from .store_entries import BlockedRequest, PeerAddress
 
+MAX_COUNT = 2**53
+MAX_NAME_LENGTH = 256
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+_Age = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_COUNT))]
+
+
+class _PeerRecord(msgspec.Struct, array_like=True):
+    zone: _Name
+    address: _Name
+
+
+class _StageRecord(msgspec.Struct, array_like=True):
+    """The fields of a :class:`Stage`; earlier releases don't write the last two."""
+
+    order_index: Annotated[int, msgspec.Meta(ge=0)]
+    number: _Count
+    share: _Share
+    age_s: _Age
+    canaries: _Count = 1
+    bad_answers: _Count = 0
+
+
 PEER_PREFIX = f"{ROOT}peers/"
 STAGE_PREFIX = f"{ROOT}stages/"
 BLOCKED_PREFIX = f"{ROOT}blocked/"
@@ -49,15 +76,22 @@
     """
     try:
         if key.startswith(PEER_PREFIX):
-            zone, address = decode_cbor(value)
-            return PeerAddress(key[len(PEER_PREFIX) :], zone, address)
+            peer = msgspec.convert(decode_cbor(value), _PeerRecord)
+            return PeerAddress(key[len(PEER_PREFIX) :], peer.zone, peer.address)
         if key.startswith(STAGE_PREFIX):
-            # Earlier releases write no canary count and no bad answers.
-            order_index, number, share, age_s, *rest = decode_cbor(value)
-            service = key[len(STAGE_PREFIX) :]
-            return Stage(service, order_index, number, share, age_s, index, *rest)
+            stage = msgspec.convert(decode_cbor(value), _StageRecord)
+            return Stage(
+                key[len(STAGE_PREFIX) :],
+                stage.order_index,
+                stage.number,
+                stage.share,
+                stage.age_s,
+                index,
+                stage.canaries,
+                stage.bad_answers,
+            )
         if key.startswith(BLOCKED_PREFIX):
             return BlockedRequest(bytes.fromhex(key[len(BLOCKED_PREFIX) :]))
-    except (ValueError, TypeError) as error:
+    except (ValueError, msgspec.ValidationError) as error:
         raise ConfigurationInvalid([f"{key}: {error}"]) from error
     return None
