--- a/src/merlinnotch/_upstreams/directory.py
+++ b/src/merlinnotch/_upstreams/directory.py
@@ -1,6 +1,6 @@
 """Discovery of upstreams from the platform's service catalogue."""
 
-import json
+import logging
 import time
 
 import urllib3
@@ -8,14 +8,18 @@
 from .._daemon.task import Task
 from .._errors import MerlinnotchError
 from .._links.link import PeerUnreachable
-from .._peers import FetchListing, ListedUpstream, ListingReply
+from .._peers import FetchListing, ListingReply
 from .._pooled_http import make_pool_manager, send_call
+from .listing import decode_listing
+
+logger = logging.getLogger("merlinnotch")
 
 LIST_PATH = "/v1/health/service/upstream"
 TIMEOUT_S = 1.0
 MAX_LISTING_BYTES = 16 << 20
 """Some kilobytes for each of thousands of upstreams."""
 MAX_PEERS_QUERIED = 2
+MAX_LOGGED_FAULTS = 5
 
 
 class PlatformUnavailable(MerlinnotchError):
@@ -38,6 +42,7 @@
         self._url = f"http://{settings.platform_address}{LIST_PATH}"
         self._http = make_pool_manager(maxsize=1, retries=False)
         self._table = table
+        self._faults = ()
 
     def run_once(self):
         try:
@@ -47,8 +52,15 @@
                 self._load_from_peers()
             raise
         # An empty list more likely comes from a fault than from a lack of upstreams.
-        if listing:
-            self._table.replace_listing(listing)
+        if listing.rows:
+            self._table.replace_listing(listing.rows)
+        self._record_faults(listing.faults)
+
+    def _record_faults(self, faults):
+        if faults != self._faults:
+            fields = {"count": len(faults), "faults": faults[:MAX_LOGGED_FAULTS]}
+            logger.warning("invalid rows in the list of upstreams", extra=fields)
+        self._faults = faults
 
     def _fetch_listing(self):
         try:
@@ -59,7 +71,10 @@
             raise PlatformUnavailable(str(error)) from error
         if reply.status != 200:
             raise PlatformUnavailable(f"status {reply.status}")
-        return [_parse_service(entry["Service"]) for entry in json.loads(reply.data)]
+        try:
+            return decode_listing(reply.data)
+        except ValueError as error:
+            raise PlatformUnavailable(f"malformed list: {error}") from error
 
     def _load_from_peers(self):
         """Fill the table with the listing of the first peer that has one."""
@@ -75,14 +90,3 @@
 
     def _handle_fetch_listing(self, request):
         return ListingReply(tuple(upstream.listed for upstream in self._table))
-
-
-def _parse_service(service):
-    metadata = service["Meta"]
-    return ListedUpstream(
-        id=service["ID"],
-        address=f"{service['Address']}:{service['Port']}",
-        zone=metadata["zone"],
-        pool=service["Service"],
-        leaving=metadata.get("state") == "leaving",
-    )
