Other front door: an odd quarantine leaves revisions and others in force

Fix: quarantines are decoded one by one, with their types; an invalid one is logged and passed over. Revisions that nest deeply or have no whole number count as invalid.

--- a/src/merlinnotch/_config/revision.py
+++ b/src/merlinnotch/_config/revision.py
@@ -26,6 +26,9 @@
     def decode(cls, data):
         """Return the revision in *data*; raises ValueError if it has none."""
         try:
-            return cls(**json.loads(data))
-        except TypeError as error:
+            revision = cls(**json.loads(data))
+        except (TypeError, RecursionError) as error:
             raise ValueError(str(error)) from error
+        if type(revision.number) is not int:
+            raise ValueError("the number of a revision is no integer")
+        return revision
--- a/src/merlinnotch/_control/configurer.py
+++ b/src/merlinnotch/_control/configurer.py
@@ -79,8 +79,7 @@
     def _process_listing(self, listing, requested_at):
         for item in listing.items:
             if item.key.startswith(QUARANTINE_PREFIX):
-                version_id = item.key.removeprefix(QUARANTINE_PREFIX)
-                self._on_quarantine(version_id, Quarantine.decode(item.value))
+                self._process_quarantine(item)
         item = listing.get(REVISION_KEY)
         if item is None:
             self._restore_revision(0)
@@ -93,6 +92,17 @@
         if self.submit(revision, requested_at) is OfferResult.OLDER:
             self._restore_revision(item.modify_index)
 
+    def _process_quarantine(self, item):
+        version_id = item.key.removeprefix(QUARANTINE_PREFIX)
+        try:
+            quarantine = Quarantine.decode(item.value)
+        except ValueError as error:
+            # The revision and other quarantines are in the same listing.
+            fields = {"key": item.key, "reason": str(error)}
+            logger.warning("invalid quarantine in the store", extra=fields)
+            return
+        self._on_quarantine(version_id, quarantine)
+
     def _restore_revision(self, index):
         """Write the revision in force to a store that has none or an older one.
 
