Other front door: odd ratings and load reports are passed over

A load report with a figure of 400 digits was sent to all instances.

Fix: both are validated one by one, with bounds (pydantic).

--- a/src/merlinnotch/_upstreams/loads.py
+++ b/src/merlinnotch/_upstreams/loads.py
@@ -1,10 +1,11 @@
 """Polling of upstreams' load, and its distribution by gossip."""
 
-import json
 import time
+from typing import Annotated
 
 import eventlet
 import urllib3
+from pydantic import BaseModel, Field, ValidationError
 
 from .._daemon.task import Task
 from .._links.gossiper import LOAD, VERSIONS
@@ -21,9 +22,27 @@
 MAX_REPORTS_PER_S = 20
 """Load reports per zone; limits the gossip traffic between its instances."""
 
+MAX_REQUESTS = 10**6
+MAX_VERSIONS = 1000
+MAX_NAME_LENGTH = 256
+"""Reports are sent to all instances."""
+
 REPUBLISH_INTERVAL_MS = 5000
 
 
+_Count = Annotated[int, Field(ge=0, le=MAX_REQUESTS)]
+
+
+class _Load(BaseModel):
+    running: _Count
+    waiting: _Count
+    slots: _Count
+    versions: Annotated[
+        list[Annotated[str, Field(max_length=MAX_NAME_LENGTH)]],
+        Field(max_length=MAX_VERSIONS),
+    ] = []
+
+
 class Loads(Task):
     """Polls the load of upstreams in the zone of this instance.
 
@@ -98,19 +117,19 @@
         if reply.status == LEAVING_STATUS:
             self._notices.report_leaving(upstream, now)
         elif reply.status == 200:
-            self._publish(listed.id, json.loads(data))
+            load = _decode_load(data)
+            if load is not None:
+                self._publish(listed.id, load)
 
     def _publish(self, upstream_id, load):
         at_ms = int(time.time() * 1000)
-        report = LoadReport(
-            at_ms, int(load["running"]), int(load["waiting"]), int(load["slots"])
-        )
+        report = LoadReport(at_ms, load.running, load.waiting, load.slots)
         # Unchanged reports are published less often.
         previous = self._gossiper.state.get((LOAD, upstream_id))
         unchanged = report.has_same_load(previous)
         if not (unchanged and at_ms - previous.at_ms < REPUBLISH_INTERVAL_MS):
             self._gossiper.publish(LOAD, (upstream_id,), report)
-        versions = tuple(sorted(load.get("versions", ())))
+        versions = tuple(sorted(load.versions))
         previous_versions = self._gossiper.state.get((VERSIONS, upstream_id))
         if versions and (
             previous_versions is None or previous_versions.versions != versions
@@ -124,3 +143,14 @@
 
     def _handle_versions(self, key, loaded):
         self._table.record_versions(key[1], loaded.versions)
+
+
+def _decode_load(data):
+    """Return the :class:`_Load` in *data*, None if it can't be read.
+
+    Such a report says nothing about the upstream.
+    """
+    try:
+        return _Load.model_validate_json(data)
+    except ValidationError:
+        return None
--- a/src/merlinnotch/_upstreams/ratings.py
+++ b/src/merlinnotch/_upstreams/ratings.py
@@ -3,8 +3,10 @@
 import json
 import logging
 import time
+from typing import Annotated
 
 import urllib3
+from pydantic import BaseModel, Field, ValidationError
 
 from .._daemon.task import Task
 from .._errors import MerlinnotchError
@@ -27,6 +29,17 @@
 
 MAX_CONSECUTIVE_FAILURES = 5
 SUCCESS_STATUSES = range(200, 300)
+MAX_SEQUENCE = 2**53
+"""A larger one would hide all ratings after it."""
+MAX_NAME_LENGTH = 256
+"""Names are sent to all instances."""
+
+
+class _Rating(BaseModel):
+    sequence: Annotated[int, Field(ge=0, le=MAX_SEQUENCE)]
+    version: Annotated[str, Field(max_length=MAX_NAME_LENGTH)]
+    kind: Annotated[str, Field(max_length=MAX_NAME_LENGTH)]
+    score: Annotated[float, Field(ge=0.0, le=1.0)]
 
 
 class RatingsUnavailable(MerlinnotchError):
@@ -77,7 +90,8 @@
             self._consecutive_failures += 1
             return None
         self._consecutive_failures = 0
-        return rating.get("score")
+        score = rating.get("score")
+        return score if _is_score(score) else None
 
     def submit(self, call, version, text):
         """Add an answer to the next batch for rating; dropped if the batch is full."""
@@ -100,9 +114,10 @@
         query = f"?source={self._instance}&after={self._last_sequence}"
         ratings = self._send("GET", f"{RATINGS_PATH}{query}", None, TIMEOUT_S, list)
         self._consecutive_failures = 0
-        for rating in ratings:
-            self._last_sequence = max(self._last_sequence, rating["sequence"])
-            self._record_score(rating["version"], rating["kind"], rating["score"])
+        for rating in map(_decode_rating, ratings):
+            if rating is not None:
+                self._last_sequence = max(self._last_sequence, rating.sequence)
+                self._record_score(rating.version, rating.kind, rating.score)
 
     def _build_rating_request(self, call, version, text, wait_s):
         return {
@@ -129,7 +144,7 @@
             if reply.status not in SUCCESS_STATUSES:
                 raise RatingsUnavailable(f"status {reply.status}")
             value = json.loads(reply.data)
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, ValueError, RecursionError) as error:
             raise RatingsUnavailable(str(error)) from error
         if not isinstance(value, reply_type):
             raise RatingsUnavailable(f"reply is no {reply_type.__name__}")
@@ -148,3 +163,15 @@
                 accepted_sum=score if meets_target else 0.0,
             ),
         )
+
+
+def _decode_rating(value):
+    """Return the :class:`_Rating` in *value*, None if it is invalid."""
+    try:
+        return _Rating.model_validate(value)
+    except ValidationError:
+        return None
+
+
+def _is_score(value):
+    return type(value) in (int, float) and 0.0 <= value <= 1.0
--- a/tests/upstreams/test_ratings.py
+++ b/tests/upstreams/test_ratings.py
@@ -84,3 +84,31 @@
     raters.run_once()
     assert raters.can_rate
     assert [row[:2] for row in tallies] == [("swift@v1", "chat")]
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        None,
+        {},
+        RATING | {"sequence": 10**400},
+        RATING | {"sequence": None},
+        RATING | {"score": "good"},
+        RATING | {"score": 10**400},
+        RATING | {"version": ["a"]},
+        RATING | {"kind": "x" * 60_000},
+    ],
+    ids=lambda odd: str(odd)[:40],
+)
+def test_odd_rating_leaves_the_others_in_use(server, raters, tallies, odd):
+    # The ratings were read from the odd one on again and again.
+    reply_with(server, 200, [odd, RATING | {"sequence": 7}])
+    raters.run_once()
+    assert [version for version, _, _ in tallies] == ["swift@v1"]
+    assert raters._last_sequence == 7
+
+
+@pytest.mark.parametrize("score", ["good", None, [], 10**400, -1, True])
+def test_score_that_is_no_score_is_not_used(server, raters, call, score):
+    reply_with(server, 200, {"score": score})
+    assert raters.rate(call, VERSION, "x") is None
