HEAD requests that end with a refusal are answered

Cause: send_response encoded a body, for which h11 raises LocalProtocolError in answer to HEAD, inside the handler of the first error.

Fix: the connection leaves the body out in answer to HEAD.

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -96,6 +96,7 @@
         self._is_broken = False
         self.keep_alive = True
         self.response_started = False
+        self._sends_body = True
         self.is_kept = False
         self._idle_state = IdleState(sock)
 
@@ -151,6 +152,7 @@
         check_framing(fields, target)
         self.keep_alive = not fields.has_token("connection", "close")
         self.response_started = False
+        self._sends_body = event.method != b"HEAD"
         if self._protocol.they_are_waiting_for_100_continue:
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._read_body(limits)
@@ -213,9 +215,9 @@
             raise CallerDisconnected(str(error)) from error
 
     def send_response(self, status, pairs, body):
-        """Send a complete response."""
+        """Send a complete response; to a HEAD request, without *body*."""
         head = self.encode_head(status, pairs, len(body))
-        data = self.encode_data(body) if body else b""
+        data = self.encode_data(body) if body and self._sends_body else b""
         end = self.encode_end()
         if len(data) <= MAX_JOINED_BYTES:
             self.write(head + data + end)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -26,6 +26,8 @@
     wait_until,
 )
 
+HEAD_END = b"\r\n\r\n"
+
 
 def count_upstream_requests(world):
     return sum(len(upstream.requests) for upstream in world.upstreams.values())
@@ -41,6 +43,27 @@
     assert [caller.send(path, "POST").status for _ in range(4)] == [200] * 4
 
 
+def read_heads(sock, count):
+    """Return the first lines of *count* responses without bodies."""
+    data = b""
+    while data.count(HEAD_END) < count and (part := sock.recv(65536)):
+        data += part
+    return [head.split(b"\r\n")[0] for head in data.split(HEAD_END)[:-1]]
+
+
+def test_refused_head_request_is_answered(world, caller):
+    # The connection was closed without an answer, though the request had run.
+    world.add_upstream("i-1", hang)
+    paths = ["/nowhere", PLAIN_PATH, "/nowhere"]
+    with caller.open() as sock:
+        for path in paths:
+            sock.sendall(
+                caller.encode(path, "HEAD", connection="", x_deadline_ms="300")
+            )
+            (line,) = read_heads(sock, 1)
+            assert line.split()[1] == (b"504" if path == PLAIN_PATH else b"404")
+
+
 def test_request_and_response_are_forwarded_unchanged(world, caller):
     upstream = world.add_upstream(
         "i-1", make_answer_script(b"body\r\n\0", extra=[("x-own", "1")])
