Other front door: a refused HEAD request gets no body

What callers saw (MIXED): eventlet's WSGI server writes what the application returns, for HEAD too, so that the body of a refusal stood before the next response on the connection.

Fix: the application returns none for HEAD. The length stays.

The test failed before.

--- a/src/merlinnotch/_callers/app.py
+++ b/src/merlinnotch/_callers/app.py
@@ -173,6 +173,7 @@
         self._state = state
         self._start_response = start_response
         self._connection = environ.get(CONNECTION_KEY)
+        self._is_head = environ["REQUEST_METHOD"] == "HEAD"
         self._running = running
         self._is_complete = False
         self.call = None
@@ -215,7 +216,8 @@
         ]
         phrase = REASON_PHRASES.get(status, "Status")
         self._start_response(f"{status} {phrase}", headers)
-        return [body]
+        # The server would write it, and the caller read it as the next response.
+        return [] if self._is_head else [body]
 
     def answer(self, answer):
         """Start the response to an answered request; return its body."""
