Other front door: the limit on a head is the timeout of the call

Callers got 409, outcome unknown, for a booking that ran for 3 s.

Cause: the limit on the time of a whole head was taken from the socket before urllib3 sets the read timeout there, so it was the one of connecting, 1 s at most.

Fix: the limit is the timeout that urllib3 gives the connection for the response.

--- a/src/merlinnotch/_pooled_http/connections.py
+++ b/src/merlinnotch/_pooled_http/connections.py
@@ -34,10 +34,10 @@
             raise
 
     @contextlib.contextmanager
-    def limiting_reads(self):
-        """Let all reads together take no longer than the timeout of each."""
-        if self.gettimeout() is not None:
-            self._reads_end_at = time.monotonic() + self.gettimeout()
+    def limiting_reads(self, timeout_s):
+        """Let all reads together take no longer than *timeout_s*, if given."""
+        if timeout_s is not None:
+            self._reads_end_at = time.monotonic() + timeout_s
         try:
             yield
         finally:
@@ -85,8 +85,9 @@
         self.response_sock = self.sock
         if not isinstance(self.sock, ResetAwareSocket):
             return super().getresponse()
-        # A head that trickles would keep its caller beyond the timeout.
-        with self.sock.limiting_reads():
+        # A head that trickles would keep its caller beyond the timeout. That of the
+        # socket is still the one of connecting.
+        with self.sock.limiting_reads(self.timeout):
             return super().getresponse()
 
     def _new_conn(self):
--- a/tests/pooled_http/test_calls.py
+++ b/tests/pooled_http/test_calls.py
@@ -176,3 +176,24 @@
     thread.kill()
     listener.close()
     assert len(sent) < 100
+
+
+def test_slow_head_is_waited_for_longer_than_a_connection(monkeypatch):
+    # Requests that took longer than the timeout of connecting were given up.
+    monkeypatch.setattr(urllib3.util.connection, "socket", green_socket)
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def answer():
+        sock, _ = listener.accept()
+        sock.recv(65536)
+        eventlet.sleep(0.5)
+        sock.sendall(HEAD + b"content-length: 4\r\n\r\nbody")
+        sock.close()
+
+    thread = eventlet.spawn(answer)
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    timeout = urllib3.Timeout(connect=0.2, read=10.0)
+    response = make_pool_manager(retries=False).request("GET", url, timeout=timeout)
+    thread.kill()
+    listener.close()
+    assert response.data == b"body"
