Gateway: others run while a body in tiny chunks is read

Cause: the reader of a body took all events of a block from h11 in one turn; 64 KB hold 11,000 chunks of a byte.

--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -18,7 +18,7 @@
     MemoryExhausted,
 )
 from merlinnotch._http import CallerConnection
-from merlinnotch._http.caller import MAX_READ_AHEAD_BYTES
+from merlinnotch._http.caller import MAX_EVENTS_PER_TURN, MAX_READ_AHEAD_BYTES
 from merlinnotch._http.server import RequestLimits
 from merlinnotch._http.sockets import (
     MAX_UNSENT_BYTES,
@@ -30,6 +30,7 @@
 LARGE_BYTES = 8 << 20
 READ_BYTES = 65536
 PART_BYTES = 10_000
+TINY_CHUNKS = 10_000
 SIOCOUTQNSD = 0x894B
 """The operation that tells how many bytes the kernel has not sent yet."""
 
@@ -66,6 +67,24 @@
     assert read_next(connection).body == b"abcde"
 
 
+def count_turns(turns):
+    while True:
+        turns.append(1)
+        eventlet.sleep(0)
+
+
+def test_other_tasks_run_while_a_body_of_tiny_chunks_is_read(connection_and_peer):
+    # A block of 64 KB kept all others out, for as long as its 11,000 chunks took.
+    connection, peer = connection_and_peer
+    peer.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+    peer.sendall(b"1\r\nx\r\n" * TINY_CHUNKS + b"0\r\n\r\n")
+    turns = []
+    thread = eventlet.spawn(count_turns, turns)
+    assert read_next(connection).body == b"x" * TINY_CHUNKS
+    thread.kill()
+    assert len(turns) >= TINY_CHUNKS // MAX_EVENTS_PER_TURN
+
+
 def test_pipelined_request_is_read_after_the_first(connection_and_peer):
     connection, peer = connection_and_peer
     peer.sendall(
