--- a/src/merlinnotch/_daemon/server.py
+++ b/src/merlinnotch/_daemon/server.py
@@ -170,6 +170,7 @@
         self.pace = TransferPace(TRANSFER_PAUSE_S)
         self.awaits_request = True
         self._is_waiting = False
+        self._was_ready = False
         self._is_ended = False
 
     @property
@@ -198,16 +199,21 @@
     def recv_into(self, buffer, nbytes=0, flags=0):
         if self.awaits_request:
             return super().recv_into(buffer, nbytes, flags)
+        if self._was_ready:
+            # A block may hold thousands of small chunks.
+            eventlet.sleep(0)
         return self._transfer(lambda: self.fd.recv_into(buffer, nbytes), read=True)
 
     def send(self, data, flags=0):
         return self._transfer(lambda: self.fd.send(data), write=True)
 
     def _transfer(self, move, **event):
+        self._was_ready = True
         while True:
             try:
                 size = move()
             except BlockingIOError:
+                self._was_ready = False
                 self._wait(event)
                 continue
             self.pace.record_bytes(size)
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -7,13 +7,15 @@
 import pytest
 from eventlet.greenio import GreenSocket
 
-from merlinnotch._daemon.server import CallerServer
+from merlinnotch._daemon.server import CallerServer, CallerSocket
 from standins.ports import PortPicker
 from tests.platform_world import Answer
 
 REQUEST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
 WAIT_S = 5.0
 OK = 200
+READ_COUNT = 10
+READ_BYTES = 1000
 
 
 class Scene:
@@ -126,3 +128,25 @@
     scene.send(REQUEST)
     assert scene.receive() == OK
     assert scene.server.is_busy is False
+
+
+def test_other_tasks_run_while_a_body_arrives_without_pauses():
+    # Small chunks of a body kept all others out.
+    ours, theirs = socket.socketpair()
+    theirs.sendall(bytes(READ_COUNT * READ_BYTES))
+    caller = CallerSocket(GreenSocket(ours))
+    caller.awaits_request = False
+    turns = []
+
+    def count_turns():
+        while True:
+            turns.append(1)
+            eventlet.sleep(0)
+
+    thread = eventlet.spawn(count_turns)
+    for _ in range(READ_COUNT):
+        assert caller.recv_into(bytearray(READ_BYTES)) == READ_BYTES
+    thread.kill()
+    caller.close()
+    theirs.close()
+    assert len(turns) >= READ_COUNT - 1
