Other front door: the list of upstreams is split in linear time and memory

What a caller would have seen: beside one odd row, a row with a text of 1 MB made each process take over a hundred megabytes, and a list that was cut off inside a text of escaped quotes kept it busy for a time that grew with the square (10 KB: 1 s).

Cause: the pattern that splits the list kept a state for each character of a text, and began anew within a text that has no end.

Fix: its repeats are possessive, and a text that isn't ended takes the rest.

--- a/src/merlinnotch/_upstreams/listing.py
+++ b/src/merlinnotch/_upstreams/listing.py
@@ -13,7 +13,8 @@
 """Names go into logs, metrics and the messages of all instances."""
 MAX_PORT = 65535
 LEAVING_STATE = "leaving"
-_JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[][{},]', re.DOTALL)
+_JSON_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)|[][{},]', re.DOTALL)
+"""A string that isn't ended takes the rest; the search would begin anew within it."""
 
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
 
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -1,14 +1,16 @@
 """The platform's list of upstreams, with rows of other writers."""
 
 import json
+import tracemalloc
 import types
 
 import pytest
 
 from merlinnotch._upstreams.directory import Directory, PlatformUnavailable
-from merlinnotch._upstreams.listing import MAX_NAME_LENGTH
+from merlinnotch._upstreams.listing import MAX_NAME_LENGTH, decode_listing
 
 NESTING = 100_000
+LONG_BYTES = 1 << 20
 
 
 def make_row(name, **changes):
@@ -90,6 +92,8 @@
         b"[" + b"9" * 5000 + b"] x",
         b"{" + b"9" * 5000 + b"}",
         b'["' + b"9" * 5000,
+        b'["' + b'\\"' * 20_000,
+        b'["a\\',
     ],
     ids=lambda body: repr(body[:20]),
 )
@@ -117,3 +121,16 @@
     assert [(row.id, row.address, row.leaving) for row in rows] == [
         ("a", "127.0.0.1:80", True)
     ]
+
+
+@pytest.mark.parametrize("text", ["x" * LONG_BYTES, '\\"' * (LONG_BYTES // 2)])
+def test_long_texts_beside_an_odd_row_take_memory_in_proportion(text):
+    # Each of their characters took over a hundred bytes.
+    row = json.dumps(make_row("odd", ID="@")).replace("@", text)
+    data = f"[{row}, {encode_with('9' * 5000)}, {json.dumps(make_row('good'))}]"
+    tracemalloc.start()
+    listing = decode_listing(data.encode())
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert [row.id for row in listing.rows] == ["good"]
+    assert peak_bytes < 16 * LONG_BYTES
