--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -383,8 +383,8 @@
 def _parse_prompt(text):
     parts = []
     for entry in (text or "").split(","):
-        part_id, colon, text = entry.strip().rpartition(":")
-        tokens = _parse_token_count(text)
+        part_id, colon, count = entry.strip().rpartition(":")
+        tokens = _parse_token_count(count)
         if colon and tokens is not None:
             parts.append(PromptPart(part_id, tokens))
     return tuple(_merge_middle(parts))
