HTTP: both readers count the events of a block with one class

The reader of requests had its own counter and limit beside those of the reader of responses, with the same figure. EventTurns (_http/sockets.py) counts for both. Other tasks run after 64 events, as the limit says; in the reader of responses it was after 65.

--- a/src/merlinnotch/_http/caller.py
+++ b/src/merlinnotch/_http/caller.py
@@ -20,6 +20,7 @@
 from .head import END_OF_HEAD, check_framing, check_raw_head
 from .idle import IdleState
 from .sockets import (
+    EventTurns,
     Receiver,
     close_quietly,
     is_open_without_input,
@@ -31,8 +32,6 @@
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
 TOO_SLOW_STATUS = 408
-MAX_EVENTS_PER_TURN = 64
-"""Parts of a body after which other tasks run. A block of bytes may hold thousands."""
 MAX_READ_AHEAD_BYTES = 64 << 10
 """Limit on pipelined bytes that are read during a request. Beyond it, a disconnect of
 the caller is only detected at the next write."""
@@ -285,11 +284,9 @@
         self._holding = self._memory.hold(self._end_reading, pace)
         # A list of small parts would take many times their size.
         body = bytearray()
-        event_count = 0
+        turns = EventTurns()
         while True:
-            event_count += 1
-            if event_count % MAX_EVENTS_PER_TURN == 0:
-                eventlet.sleep(0)
+            turns.count_event()
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 self._holding.settle()
--- a/src/merlinnotch/_http/sockets.py
+++ b/src/merlinnotch/_http/sockets.py
@@ -37,6 +37,7 @@
 """The same for streams, which wait in it while their callers don't read. Tokens need
 less than bodies that are read as they arrive."""
 RECEIVE_SIZE_BYTES = 65536
+MAX_EVENTS_PER_TURN = 64
 LATE_READ_S = 0.05
 """A busy process may reach a read only after its time limit. Bytes that have arrived
 are not lost for that, but a sender that never pauses must not prolong the limit."""
@@ -165,6 +166,29 @@
         return data
 
 
+class EventTurns:
+    """Lets other tasks run between the events of a block of bytes.
+
+    A block may hold thousands of events.
+    """
+
+    def __init__(self):
+        self._event_count = 0
+
+    def restart(self):
+        """Count from the next event, as other tasks may have run."""
+        self._event_count = 0
+
+    def count_event(self):
+        """Count an event; return whether other tasks have run before it."""
+        self._event_count += 1
+        if self._event_count <= MAX_EVENTS_PER_TURN:
+            return False
+        self._event_count = 1
+        eventlet.sleep(0)
+        return True
+
+
 def _receive_ready(sock, read_bytes):
     """Return the bytes that have arrived, b"" at the end, or None if there are none."""
     try:
--- a/src/merlinnotch/_http/upstream.py
+++ b/src/merlinnotch/_http/upstream.py
@@ -18,6 +18,7 @@
     OUTGOING_RECEIVE_BUFFER_BYTES,
     RECEIVE_SIZE_BYTES,
     STREAM_RECEIVE_BUFFER_BYTES,
+    EventTurns,
     Receiver,
     close_quietly,
     is_open_without_input,
@@ -40,9 +41,6 @@
 """A server sends one or two before a response."""
 MAX_SKIPPED_BYTES = 1 << 20
 """Bytes of responses to other requests that are read before the awaited one."""
-MAX_EVENTS_PER_TURN = 64
-"""Parts of a response after which other tasks run and the deadline is checked. A block
-of bytes may hold thousands."""
 
 
 class Framing(enum.StrEnum):
@@ -101,7 +99,7 @@
         self._sock = open_connection(address, connect_timeout_s, source_host)
         self._receiver = Receiver(self._sock)
         self._buffer_bytes = STREAM_RECEIVE_BUFFER_BYTES
-        self._turn_events = 0
+        self._turns = EventTurns()
         self._interim_count = 0
         self._skipped_bytes = 0
         self._skipped_end = b""
@@ -297,7 +295,7 @@
             if self._reads_body_at_once():
                 self._resize_buffer(OUTGOING_RECEIVE_BUFFER_BYTES)
             data = self._receiver.receive(deadline - self._read_clock())
-            self._turn_events = 0
+            self._turns.restart()
             if self._build_abort_error is not None:
                 raise self._build_abort_error()
             if not data:
@@ -326,12 +324,7 @@
             self._buffer_bytes = size
 
     def _limit_turn(self, deadline):
-        self._turn_events += 1
-        if self._turn_events <= MAX_EVENTS_PER_TURN:
-            return
-        self._turn_events = 0
-        eventlet.sleep(0)
-        if self._read_clock() >= deadline + LATE_READ_S:
+        if self._turns.count_event() and self._read_clock() >= deadline + LATE_READ_S:
             raise ConnectionTimedOut("read timed out")
 
     def _apply_connection_fields(self, fields):
--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -18,9 +18,10 @@
     MemoryExhausted,
 )
 from merlinnotch._http import CallerConnection
-from merlinnotch._http.caller import MAX_EVENTS_PER_TURN, MAX_READ_AHEAD_BYTES
+from merlinnotch._http.caller import MAX_READ_AHEAD_BYTES
 from merlinnotch._http.server import RequestLimits
 from merlinnotch._http.sockets import (
+    MAX_EVENTS_PER_TURN,
     MAX_UNSENT_BYTES,
     RECEIVE_SIZE_BYTES,
     set_socket_options,
