Tests: one fixture counts turns, one lets clients wait

The loop that counts turns of other tasks was written twice, the time limits three times. Both are fixtures now (tests/conftest.py, tests/upstreams/conftest.py); the assertions are the same.

With the fixes of the tiny chunks taken out both tests fail with 0 turns; with a server that rests for 1.1 s the 97 tests of lists, ratings and loads pass.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import http.server
 import sys
 
+import eventlet
 import eventlet.wsgi  # noqa: F401
 import pytest
 from hypothesis import HealthCheck, settings
@@ -37,3 +38,18 @@
             return getattr(Caller(world.instances[0]), name)
 
     return LazyCaller()
+
+
+@pytest.fixture
+def turns():
+    """Return a list that grows by one in each turn of the other tasks."""
+    turns = []
+
+    def count_turns():
+        while True:
+            turns.append(1)
+            eventlet.sleep(0)
+
+    thread = eventlet.spawn(count_turns)
+    yield turns
+    thread.kill()
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -130,23 +130,14 @@
     assert scene.server.is_busy is False
 
 
-def test_other_tasks_run_while_a_body_arrives_without_pauses():
+def test_other_tasks_run_while_a_body_arrives_without_pauses(turns):
     # Small chunks of a body kept all others out.
     ours, theirs = socket.socketpair()
     theirs.sendall(bytes(READ_COUNT * READ_BYTES))
     caller = CallerSocket(GreenSocket(ours))
     caller.awaits_request = False
-    turns = []
-
-    def count_turns():
-        while True:
-            turns.append(1)
-            eventlet.sleep(0)
-
-    thread = eventlet.spawn(count_turns)
     for _ in range(READ_COUNT):
         assert caller.recv_into(bytearray(READ_BYTES)) == READ_BYTES
-    thread.kill()
     caller.close()
     theirs.close()
     assert len(turns) >= READ_COUNT - 1
--- a/tests/http/test_caller.py
+++ b/tests/http/test_caller.py
@@ -68,21 +68,14 @@
     assert read_next(connection).body == b"abcde"
 
 
-def count_turns(turns):
-    while True:
-        turns.append(1)
-        eventlet.sleep(0)
-
-
-def test_other_tasks_run_while_a_body_of_tiny_chunks_is_read(connection_and_peer):
+def test_other_tasks_run_while_a_body_of_tiny_chunks_is_read(
+    connection_and_peer, turns
+):
     # A block of 64 KB kept all others out, for as long as its 11,000 chunks took.
     connection, peer = connection_and_peer
     peer.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
     peer.sendall(b"1\r\nx\r\n" * TINY_CHUNKS + b"0\r\n\r\n")
-    turns = []
-    thread = eventlet.spawn(count_turns, turns)
     assert read_next(connection).body == b"x" * TINY_CHUNKS
-    thread.kill()
     assert len(turns) >= TINY_CHUNKS // MAX_EVENTS_PER_TURN
 
 
--- a/tests/upstreams/conftest.py
+++ b/tests/upstreams/conftest.py
@@ -11,8 +11,12 @@
 from merlinnotch._peers import ListedUpstream
 from merlinnotch._rate_limits import PermitFleet, Permits
 from merlinnotch._routing import UpstreamStart, UpstreamTable
+from merlinnotch._upstreams import directory, loads, ratings
 from merlinnotch._upstreams.notices import ResponseNotices
 
+WAIT_S = 30.0
+"""Longer than the server, a thread of the same process, may stand still."""
+
 
 class UpstreamServer:
     """Answers each request with *status*, *headers* and *body*, and counts them."""
@@ -122,6 +126,15 @@
     server.close()
 
 
+@pytest.fixture
+def patient_clients(monkeypatch):
+    """Let the clients of lists, ratings and loads wait for the server."""
+    monkeypatch.setattr(directory, "TIMEOUT_S", WAIT_S)
+    monkeypatch.setattr(loads, "TIMEOUT_S", WAIT_S)
+    monkeypatch.setattr(ratings, "TIMEOUT_S", WAIT_S)
+    monkeypatch.setattr(ratings, "RATING_TIMEOUT_S", WAIT_S)
+
+
 @pytest.fixture
 def table(server):
     table = UpstreamTable("zone-a")
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -6,14 +6,11 @@
 
 import pytest
 
-from merlinnotch._upstreams import directory as directory_module
 from merlinnotch._upstreams.directory import Directory, PlatformUnavailable
 from merlinnotch._upstreams.listing import MAX_NAME_LENGTH, decode_listing
 
 NESTING = 100_000
 LONG_BYTES = 1 << 20
-WAIT_S = 30.0
-"""Longer than the server, a thread of the same process, may stand still."""
 
 
 def make_row(name, **changes):
@@ -64,9 +61,7 @@
 
 
 @pytest.fixture
-def directory(server, listed, monkeypatch):
-    monkeypatch.setattr(directory_module, "TIMEOUT_S", WAIT_S)
-
+def directory(server, listed, patient_clients):
     class Table(list):
         def replace_listing(self, rows):
             listed.append([row.id for row in rows])
--- a/tests/upstreams/test_loads.py
+++ b/tests/upstreams/test_loads.py
@@ -7,17 +7,13 @@
 
 from merlinnotch._daemon.metrics import Metrics
 from merlinnotch._links.gossiper import LOAD
-from merlinnotch._upstreams import loads as loads_module
 from merlinnotch._upstreams.loads import Loads
 
-WAIT_S = 30.0
-"""Longer than the server, a thread of the same process, may stand still."""
 LOAD_REPORT = {"running": 3, "waiting": 1, "slots": 8, "versions": ["swift@v1"]}
 
 
 @pytest.fixture
-def loads(table, gossiper, notices, monkeypatch):
-    monkeypatch.setattr(loads_module, "TIMEOUT_S", WAIT_S)
+def loads(table, gossiper, notices, patient_clients):
     settings = types.SimpleNamespace(zone="zone-a", instance="entry")
     return Loads(settings, table, gossiper, Metrics(), lambda: None, notices)
 
--- a/tests/upstreams/test_ratings.py
+++ b/tests/upstreams/test_ratings.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from merlinnotch._upstreams import ratings as ratings_module
 from merlinnotch._upstreams.ratings import (
     MAX_CONSECUTIVE_FAILURES,
     Raters,
@@ -14,8 +13,6 @@
 
 RATING = {"sequence": 1, "version": "swift@v1", "kind": "chat", "score": 0.5}
 VERSION = types.SimpleNamespace(id="swift@v1")
-WAIT_S = 30.0
-"""Longer than the server, a thread of the same process, may stand still."""
 
 
 @pytest.fixture
@@ -33,9 +30,7 @@
 
 
 @pytest.fixture
-def raters(server, tallies, monkeypatch):
-    monkeypatch.setattr(ratings_module, "TIMEOUT_S", WAIT_S)
-    monkeypatch.setattr(ratings_module, "RATING_TIMEOUT_S", WAIT_S)
+def raters(server, tallies, patient_clients):
     settings = types.SimpleNamespace(ratings_address=server.address, instance="entry")
     recorder = types.SimpleNamespace(
         count=lambda version, kind, tally: tallies.append((version, kind, tally))
