--- a/src/merlinnotch/_admission/average.py
+++ b/src/merlinnotch/_admission/average.py
@@ -5,7 +5,7 @@
 
 WINDOW_S = 10.0
 """Time over which demand is averaged. In a large fleet an instance sees one request a
-second, and a team must be seen often to be told from others."""
+second, and a team must be seen often to be distinguished from others."""
 MIN_PER_S = 0.005
 
 
--- a/src/merlinnotch/_admission/level.py
+++ b/src/merlinnotch/_admission/level.py
@@ -48,7 +48,7 @@
 and reports 1 s old, slots were idle for a second after queues had been full."""
 SHED_FORGET_FACTOR = 10.0
 """How much faster the share of sends that are shed is forgotten than the rate of sends.
-While an upstream sheds everything, callers must be told so from the start."""
+While an upstream sheds everything, callers must learn of it from the start."""
 MAX_STEP_S = 0.5
 
 
--- a/src/merlinnotch/_admission/returns.py
+++ b/src/merlinnotch/_admission/returns.py
@@ -5,7 +5,7 @@
 MAX_RETURN_S = 10.0
 """Longest time until a caller is to return."""
 MAX_RANKS = 10
-"""Ranks that are told apart; less urgent ones count as the last."""
+"""Ranks that are distinguished; less urgent ones count as the last."""
 MIN_PER_S = 0.01
 
 
--- a/src/merlinnotch/_callers/running.py
+++ b/src/merlinnotch/_callers/running.py
@@ -8,7 +8,7 @@
 class RunningRequests:
     """The requests in progress and the tasks that answer them.
 
-    Each is known by its reply, which tells what may be done with it.
+    Each is known by its reply, which says whether it may be refused.
     """
 
     def __init__(self):
--- a/src/merlinnotch/_errors/exceptions.py
+++ b/src/merlinnotch/_errors/exceptions.py
@@ -55,7 +55,7 @@
     *kind* is an :class:`ErrorKind`. *detail* replaces the default message of that kind
     if not empty. *outcome* is whether the request may have run. *retry_after_s*
     overrides the delay in seconds of the :class:`ErrorResponse` if not None. With
-    *is_delay_fixed* the caller is told exactly that delay.
+    *is_delay_fixed* the caller gets exactly that delay.
     """
 
     def __init__(
--- a/src/merlinnotch/_gateway/admission_gate.py
+++ b/src/merlinnotch/_gateway/admission_gate.py
@@ -1,4 +1,4 @@
-"""Admission of calls before their first send, and the wait of those told to wait."""
+"""Admission of calls before their first send, and the wait of those admitted later."""
 
 import itertools
 from dataclasses import dataclass, field
--- a/src/merlinnotch/_gateway/results.py
+++ b/src/merlinnotch/_gateway/results.py
@@ -10,8 +10,8 @@
 stream would hide a slow version for too long."""
 
 MIN_DELAY_S = 0.1
-"""Delays of an engine's first event below this one are not told apart: those that are
-not slow take 0.02 to 0.15 s."""
+"""Delays of an engine's first event below this one are not distinguished: those that
+are not slow take 0.02 to 0.15 s."""
 
 
 class ResultRecorder:
--- a/src/merlinnotch/_placement/ramp_up.py
+++ b/src/merlinnotch/_placement/ramp_up.py
@@ -217,8 +217,8 @@
     def record_unreachable(self, upstream, now):
         """Record a connection that failed or broke.
 
-        The reason may lie between this instance and the upstream, so the others are not
-        told.
+        The reason may lie between this instance and the upstream, so the others don't
+        learn of it.
         """
         window = self._windows.get(upstream.start)
         if window is not None:
--- a/src/merlinnotch/_poison/part_attribution.py
+++ b/src/merlinnotch/_poison/part_attribution.py
@@ -18,7 +18,7 @@
 )
 
 MAX_TIED_LOSSES = 7
-"""Parts that always come together can't be told apart. One of them is blocked once they
+"""Parts that always come together can't be distinguished. One is blocked once they
 have this many losses; until then a request with only one of them may clear it."""
 MAX_ENDED = 1024
 """Limit on the upstreams that ended which are kept."""
--- a/src/merlinnotch/_pooled_http/connections.py
+++ b/src/merlinnotch/_pooled_http/connections.py
@@ -85,8 +85,8 @@
         self.response_sock = self.sock
         if not isinstance(self.sock, ResetAwareSocket):
             return super().getresponse()
-        # A head that trickles would keep its caller beyond the timeout. That of the
-        # socket is still the one of connecting.
+        # A head that trickles would keep its caller beyond the timeout. The
+        # socket's own timeout is still that of connecting.
         with self.sock.limiting_reads(self.timeout):
             return super().getresponse()
 
--- a/src/merlinnotch/_upstreams/listing.py
+++ b/src/merlinnotch/_upstreams/listing.py
@@ -14,7 +14,7 @@
 MAX_PORT = 65535
 LEAVING_STATE = "leaving"
 _JSON_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)|[][{},]', re.DOTALL)
-"""A string that isn't ended takes the rest; the search would begin anew within it."""
+"""An unterminated string matches the rest; the search would restart inside it."""
 
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
 
--- a/src/merlinnotch/platform/headers.py
+++ b/src/merlinnotch/platform/headers.py
@@ -50,7 +50,7 @@
 _TOKEN_COUNT = re.compile(r"[0-9]{1,9}")
 """The sum of all counts in one head is exact as a float."""
 MAX_PROMPT_PARTS = 128
-"""Limit on the parts of a prompt that are told apart. An object for each of the
+"""Limit on the parts of a prompt that are kept apart. An object for each of the
 thousands that a head may hold would take many times the size of the head."""
 MERGED_ID_BYTES = 16
 MAX_EVENT_ID = 10**15
